Add the base types, peer connections, configuration model and checks

Starts the repository: the design page with numbered requirements, the millisecond clock types, findings, counters, logs, the message schema with framed TCP connections, the configuration value with its codec, and the scripts that set up, build, format, lint and test.

--- /dev/null
+++ b/cmake/curranthoist_targets.cmake
@@ -0,0 +1,41 @@
+# Functions that declare the project's libraries, programs and tests with one set of flags.
+
+add_library(curranthoist_flags INTERFACE)
+target_compile_options(curranthoist_flags INTERFACE
+    -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror)
+if(CURRANTHOIST_SANITIZE)
+    target_compile_options(curranthoist_flags INTERFACE
+        -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
+    target_link_options(curranthoist_flags INTERFACE -fsanitize=address,undefined)
+endif()
+
+# curranthoist_library(name SOURCES a.cpp b.cpp DEPS other ...)
+function(curranthoist_library name)
+    cmake_parse_arguments(arg "" "" "SOURCES;DEPS" ${ARGN})
+    if(arg_SOURCES)
+        add_library(curranthoist_${name} STATIC ${arg_SOURCES})
+        target_link_libraries(curranthoist_${name} PUBLIC ${arg_DEPS} PRIVATE curranthoist_flags)
+    else()
+        add_library(curranthoist_${name} INTERFACE)
+        target_link_libraries(curranthoist_${name} INTERFACE ${arg_DEPS})
+    endif()
+endfunction()
+
+# curranthoist_program(name SOURCES main.cpp DEPS curranthoist_base ...)
+function(curranthoist_program name)
+    cmake_parse_arguments(arg "" "" "SOURCES;DEPS" ${ARGN})
+    add_executable(${name} ${arg_SOURCES})
+    target_link_libraries(${name} PRIVATE ${arg_DEPS} curranthoist_flags)
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
+
+# curranthoist_test(name SOURCES a_test.cpp DEPS curranthoist_base ...)
+function(curranthoist_test name)
+    cmake_parse_arguments(arg "" "TIMEOUT" "SOURCES;DEPS" ${ARGN})
+    add_executable(${name} ${arg_SOURCES})
+    target_link_libraries(${name} PRIVATE ${arg_DEPS} curranthoist_flags GTest::gtest_main GTest::gmock)
+    if(NOT arg_TIMEOUT)
+        set(arg_TIMEOUT 120)
+    endif()
+    gtest_discover_tests(${name} DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT ${arg_TIMEOUT})
+endfunction()
--- /dev/null
+++ b/curranthoist/wire/peer_connection.cpp
@@ -0,0 +1,211 @@
+#include "curranthoist/wire/peer_connection.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace curranthoist::wire {
+
+namespace {
+
+// Acknowledgements that are missing for this long end the connection. It is shorter than
+// the kernel's retransmission limit of many minutes and longer than a lost packet or two.
+constexpr unsigned unacknowledged_limit_ms = 5000;
+constexpr std::size_t read_buffer_bytes = std::size_t{64} * 1024;
+
+void set_socket_options(int descriptor)
+{
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_limit_ms,
+               sizeof unacknowledged_limit_ms);
+}
+
+} // namespace
+
+peer_connection::peer_connection(ev::loop_ref loop, int descriptor,
+                                 message_handler on_message, close_handler on_close)
+    : descriptor_(descriptor)
+    , on_message_(std::move(on_message))
+    , on_close_(std::move(on_close))
+    , read_watcher_(loop)
+    , write_watcher_(loop)
+{
+    set_socket_options(descriptor_);
+    read_watcher_.set<peer_connection, &peer_connection::on_readable>(this);
+    write_watcher_.set<peer_connection, &peer_connection::on_writable>(this);
+    read_watcher_.start(descriptor_, ev::READ);
+    write_watcher_.set(descriptor_, ev::WRITE);
+}
+
+peer_connection::~peer_connection()
+{
+    close();
+}
+
+void peer_connection::close()
+{
+    if (closed_in_handler_ != nullptr) {
+        *closed_in_handler_ = true;
+        closed_in_handler_ = nullptr;
+    }
+    if (descriptor_ < 0) {
+        return;
+    }
+    read_watcher_.stop();
+    write_watcher_.stop();
+    ::close(descriptor_);
+    descriptor_ = -1;
+    queue_.clear();
+    queued_bytes_ = 0;
+}
+
+void peer_connection::fail(const std::string& reason)
+{
+    close();
+    const close_handler handler = std::move(on_close_);
+    on_close_ = nullptr;
+    if (handler) {
+        handler(reason);
+    }
+}
+
+void peer_connection::send_frame(std::vector<std::uint8_t> frame)
+{
+    if (descriptor_ < 0) {
+        return;
+    }
+    queued_bytes_ += frame.size();
+    queue_.push_back(std::move(frame));
+    // The socket is written from the loop only, so that a failing write never destroys
+    // the connection under its sender.
+    write_watcher_.start();
+}
+
+void peer_connection::on_writable(ev::io& /*watcher*/, int /*events*/)
+{
+    write_queue();
+}
+
+void peer_connection::write_queue()
+{
+    while (!queue_.empty()) {
+        const std::vector<std::uint8_t>& front = queue_.front();
+        const ssize_t sent = ::send(descriptor_, front.data() + front_sent_,
+                                    front.size() - front_sent_, MSG_NOSIGNAL);
+        if (sent < 0) {
+            if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) {
+                break;
+            }
+            fail(std::string("write failed: ") + std::strerror(errno));
+            return;
+        }
+        bytes_sent_ += static_cast<std::uint64_t>(sent);
+        queued_bytes_ -= static_cast<std::size_t>(sent);
+        front_sent_ += static_cast<std::size_t>(sent);
+        if (front_sent_ == front.size()) {
+            queue_.pop_front();
+            front_sent_ = 0;
+        }
+    }
+    if (queue_.empty()) {
+        write_watcher_.stop();
+    }
+    else if (queued_bytes_ > max_queued_bytes) {
+        fail("peer reads too slowly");
+    }
+}
+
+void peer_connection::on_readable(ev::io& /*watcher*/, int /*events*/)
+{
+    // A bounded number of reads per event keeps one busy peer from starving the others.
+    constexpr int max_reads = 16;
+    for (int i = 0; i < max_reads; ++i) {
+        if (!read_some()) {
+            return;
+        }
+    }
+}
+
+bool peer_connection::read_some()
+{
+    std::array<std::uint8_t, read_buffer_bytes> buffer;
+    const ssize_t got = ::recv(descriptor_, buffer.data(), buffer.size(), 0);
+    if (got > 0) {
+        bytes_received_ += static_cast<std::uint64_t>(got);
+        return consume(static_cast<std::size_t>(got), buffer.data());
+    }
+    if (got == 0) {
+        fail("closed by peer");
+    }
+    else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+        fail(std::string("read failed: ") + std::strerror(errno));
+    }
+    return false;
+}
+
+bool peer_connection::consume(std::size_t size, const std::uint8_t* bytes)
+{
+    while (size > 0) {
+        if (prefix_.size() < frame_prefix_bytes) {
+            const std::size_t wanted = frame_prefix_bytes - prefix_.size();
+            const std::size_t taken = std::min(size, wanted);
+            prefix_.insert(prefix_.end(), bytes, bytes + taken);
+            bytes += taken;
+            size -= taken;
+            if (prefix_.size() < frame_prefix_bytes) {
+                return true;
+            }
+            const std::size_t length = frame_length(prefix_);
+            if (length == 0 || length > max_envelope_bytes) {
+                fail("frame length out of range");
+                return false;
+            }
+            body_.clear();
+            body_filled_ = 0;
+        }
+        // The body grows with what has arrived, so that a stated length alone makes the
+        // process allocate nothing.
+        const std::size_t length = frame_length(prefix_);
+        const std::size_t taken = std::min(size, length - body_filled_);
+        body_.insert(body_.end(), bytes, bytes + taken);
+        body_filled_ += taken;
+        bytes += taken;
+        size -= taken;
+        if (body_filled_ == length && !deliver_frame()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool peer_connection::deliver_frame()
+{
+    prefix_.clear();
+    // The frame is moved out first because the handler may destroy the connection.
+    const std::vector<std::uint8_t> frame = std::move(body_);
+    body_.clear();
+    const envelope* message = verified_envelope(frame);
+    if (message == nullptr) {
+        fail("frame failed verification");
+        return false;
+    }
+    closed_flag closed = false;
+    closed_in_handler_ = &closed;
+    // A copy, because the handler may destroy the connection and with it on_message_.
+    const message_handler handler = on_message_;
+    handler(*message);
+    if (closed) {
+        return false;
+    }
+    closed_in_handler_ = nullptr;
+    return true;
+}
+
+} // namespace curranthoist::wire
