--- a/curranthoist/settings/parse_toml.cpp
+++ b/curranthoist/settings/parse_toml.cpp
@@ -81,7 +81,7 @@
 std::string read_file(const std::string& file)
 {
     std::ifstream input(file, std::ios::binary);
-    const std::string text{std::istreambuf_iterator<char>(input), {}};
+    std::string text{std::istreambuf_iterator<char>(input), {}};
     if (!input.good() && !input.eof()) {
         base::findings found;
         found.add(file, "cannot be read");
