--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -148,23 +148,20 @@
     def entry_settings(self, name):
         address, zone = self.entries[name]
         controls = ", ".join(f'"{one}:7100"' for one in self.controls.values())
-        policies = "".join(f'{key} = "{value}"\n' for key, value in self.policies.items())
+        policies = "".join(f"{key} = {json.dumps(value)}\n"
+                           for key, value in self.policies.items())
         return self.write(name + ".toml", f"""vm = "{name}"
 zone = "{zone}"
+control = [{controls}]
 log_level = "{self.log_level}"
+balancer_delay_ms = 300
+stop_limit_ms = 15000
 
 [listen]
 callers = "{address}:8080"
 peers = "{address}:7000"
 
-[control]
-addresses = [{controls}]
-
-[stop]
-balancer_delay_ms = 300
-stop_limit_ms = 10000
-
-[policy]
+[policies]
 {policies}""")
 
     def control_settings(self, name):
@@ -251,7 +248,7 @@
 
     def declare(self):
         path = self.write("intents.json", json.dumps(list(self.intents())))
-        self.ctl("--yes", "apply", "--file", path)
+        self.ctl("apply", "--yes", "--file", path)
 
     def status(self):
         return json.loads(self.ctl("status").stdout)
