--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -36,7 +36,8 @@
     build = sys.argv[1]
     red = known_red()
     exclude = ["-E", "^(" + "|".join(re.escape(name) for name in red) + ")$"] if red else []
-    output = run_ctest(build, exclude)
+    junit = ["--output-junit", "test-results.xml"]
+    output = run_ctest(build, exclude + junit)
     print(output)
     for name in red:
         single = run_ctest(build, ["-R", "^" + re.escape(name) + "$"])
