--- /dev/null
+++ b/curranthoist/admission/cold_detector.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "curranthoist/admission/call_result.hpp"
+#include "curranthoist/admission/latency_window.hpp"
+#include "curranthoist/base/instant.hpp"
+
+#include <array>
+#include <cstddef>
+
+namespace curranthoist::admission {
+
+// Recognises from responses and status polls that a target has started cold: with notice
+// (its boot id changes) or without (connections refused or reset and later working, a
+// burst of sheds, or responses far slower than the warm ones).
+class cold_detector
+{
+public:
+    static constexpr std::size_t sheds_in_burst = 4;
+    static constexpr base::duration burst_window{1000};
+    // Consecutive slow responses after which the target counts as cold; single stragglers
+    // don't reach it.
+    static constexpr int slow_responses_when_cold = 8;
+    static constexpr int slow_factor = 3;
+
+    // `expected` is the warm service time known from elsewhere; 0 if there is none.
+    explicit cold_detector(base::duration expected = {})
+        : expected_(expected)
+    {}
+
+    // True if this boot id shows a restart. The first id and an empty one don't.
+    bool boot_changed(const base::boot_id& boot);
+    // True if this result, of a target so far `warm` or not, shows a cold start.
+    bool shows_cold_start(base::instant now, const call_result& result, bool warm);
+    // True if a response of that length is slow: over 3 times the warm service time.
+    [[nodiscard]] bool slow(base::duration service_time) const;
+    // The warm service time: the median while warm; before that the expected time or the
+    // fastest response so far.
+    [[nodiscard]] base::duration warm_service_time() const;
+
+private:
+    bool shed_burst(base::instant now);
+    bool slow_run(base::duration service_time);
+
+    base::duration expected_;
+    base::boot_id boot_;
+    bool connection_failed_ = false;
+    std::array<base::instant, sheds_in_burst> sheds_{};
+    std::size_t shed_count_ = 0;
+    int slow_count_ = 0;
+    latency_window warm_times_;
+    base::duration fastest_;
+};
+
+} // namespace curranthoist::admission
--- /dev/null
+++ b/curranthoist/execution/order_reply.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "curranthoist/wire/generated/messages_generated.h"
+
+#include <cstdint>
+#include <string>
+
+namespace curranthoist::execution {
+
+// An owner's reply to the send of that number. `not_run` is true only if that is certain.
+struct order_reply
+{
+    std::uint64_t send = 0;
+    wire::part_status status = wire::part_status::failed;
+    bool not_run = false;
+    std::string body;
+};
+
+} // namespace curranthoist::execution
--- /dev/null
+++ b/curranthoist/routing/latency_tracker.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "curranthoist/admission/latency_window.hpp"
+#include "curranthoist/base/instant.hpp"
+
+namespace curranthoist::routing {
+
+// A service's recent part latencies, from send to reply, as the coordinator saw them. A
+// part that a faster attempt beat counts with its age at that moment.
+class latency_tracker
+{
+public:
+    // Without enough samples a percentile says nothing, so hedging starts late.
+    static constexpr std::size_t least_samples = 20;
+    static constexpr base::duration without_history{100};
+    // The percentile is recomputed once per so many samples.
+    static constexpr int samples_per_update = 16;
+
+    void add(base::duration latency);
+    // The 95th percentile.
+    [[nodiscard]] base::duration p95() const { return p95_; }
+
+private:
+    admission::latency_window window_;
+    base::duration p95_ = without_history;
+    int since_update_ = 0;
+};
+
+} // namespace curranthoist::routing
--- /dev/null
+++ b/curranthoist/routing/part_attempt.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "curranthoist/base/instant.hpp"
+#include "curranthoist/routing/replica.hpp"
+
+#include <cstdint>
+
+namespace curranthoist::routing {
+
+// One send of a part. `part` is its own number, so that a reply can't be taken for that
+// of another send.
+struct part_attempt
+{
+    std::uint64_t part = 0;
+    std::uint32_t shard = 0;
+    replica where;
+    base::instant sent;
+};
+
+} // namespace curranthoist::routing
--- /dev/null
+++ b/curranthoist/routing/replica.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "curranthoist/base/identifiers.hpp"
+
+namespace curranthoist::routing {
+
+// A usable target and the VM through which it is reached.
+struct replica
+{
+    base::target_id target;
+    base::vm_id owner;
+    base::fence fence;
+    bool cold = false;
+
+    bool operator==(const replica&) const = default;
+};
+
+} // namespace curranthoist::routing
--- /dev/null
+++ b/curranthoist/routing/scatter_context.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "curranthoist/base/random_source.hpp"
+#include "curranthoist/routing/configured_choice.hpp"
+#include "curranthoist/routing/hedge_budget.hpp"
+#include "curranthoist/routing/hedging.hpp"
+#include "curranthoist/routing/latency_tracker.hpp"
+#include "curranthoist/routing/load_table.hpp"
+
+#include <set>
+
+namespace curranthoist::routing {
+
+// What the queries of one service at one entry VM share. It outlives them.
+template <replica_choice Choice = configured_choice, hedging Hedging = configured_hedging>
+struct scatter_context
+{
+    explicit scatter_context(base::random_source& shared_random, Choice choice_rule = {},
+                             Hedging hedging_rule = {})
+        : random(shared_random)
+        , choice(choice_rule)
+        , hedge(hedging_rule)
+    {}
+
+    base::random_source& random;
+    Choice choice;
+    Hedging hedge;
+    hedge_budget budget;
+    latency_tracker latencies;
+    load_table loads;
+    // Owner VMs without a working peer connection; the shell keeps it. A replica behind
+    // one is chosen only if there is no other.
+    std::set<base::vm_id> lost_owners;
+};
+
+} // namespace curranthoist::routing
