--- /dev/null
+++ b/curranthoist/consensus/host_options.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "curranthoist/base/endpoint.hpp"
+#include "curranthoist/base/identifiers.hpp"
+#include "curranthoist/consensus/replica_options.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace curranthoist::consensus {
+
+// Settings of one replica_host.
+struct host_options
+{
+    // Where other members and entry VMs connect.
+    base::endpoint listen;
+    base::zone_id zone;
+    base::incarnation incarnation;
+    // Randomises election timeouts; must differ between members.
+    std::uint64_t seed = 0;
+    // A log snapshot is taken after this many applied entries.
+    std::uint64_t entries_per_snapshot = 10'000;
+    replica_options replica;
+    // Called with the reason when the disk fails or holds a state that can't be used. The
+    // process must end; the host does nothing more. By default it ends at once.
+    std::function<void(const std::string&)> on_fatal;
+};
+
+} // namespace curranthoist::consensus
--- /dev/null
+++ b/curranthoist/consensus/peer_session.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "curranthoist/wire/peer_connection.hpp"
+
+#include <ev++.h>
+
+#include <string>
+#include <utility>
+
+namespace curranthoist::consensus {
+
+// An accepted connection whose handlers can be replaced, so that it can be handed to
+// another owner after its first message. The handlers may destroy the session.
+class peer_session
+{
+public:
+    using message_handler = wire::peer_connection::message_handler;
+    using close_handler = wire::peer_connection::close_handler;
+
+    // Takes ownership of the connected socket.
+    peer_session(ev::loop_ref loop, int descriptor);
+    peer_session(const peer_session&) = delete;
+    peer_session& operator=(const peer_session&) = delete;
+
+    // Replaces both handlers. Frames that arrive later go to the new ones.
+    void set_handlers(message_handler on_message, close_handler on_close);
+    template <class Message>
+    void send(Message message)
+    {
+        connection_.send(std::move(message));
+    }
+    void send_frame(std::vector<std::uint8_t> frame)
+    {
+        connection_.send_frame(std::move(frame));
+    }
+    [[nodiscard]] bool is_open() const { return connection_.is_open(); }
+    [[nodiscard]] std::size_t queued_bytes() const { return connection_.queued_bytes(); }
+
+private:
+    message_handler on_message_;
+    close_handler on_close_;
+    wire::peer_connection connection_;
+};
+
+} // namespace curranthoist::consensus
