Add the caller server and the target client

The server suspends a connection while its answer is outstanding and watches it for EPOLLRDHUP. The client sends each call at most once, counts its sockets and accepts only responses whose length can be verified.

--- /dev/null
+++ b/curranthoist/http/caller_request.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "curranthoist/http/header_map.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace curranthoist::http {
+
+// One complete request that a caller_server received.
+struct caller_request
+{
+    // Query arguments by name, decoded. An argument without a value is empty.
+    using argument_map = std::map<std::string, std::string, std::less<>>;
+
+    std::string method = {};
+    // The decoded path, without the query arguments.
+    std::string path = {};
+    argument_map arguments = {};
+    header_map headers = {};
+    std::string body = {};
+    // Number of the connection it came on, from 1, unique in the server's life.
+    std::uint64_t connection = 0;
+
+    // The header's value; nothing if the request has no such header.
+    [[nodiscard]] std::optional<std::string> header(std::string_view name) const
+    {
+        const auto found = headers.find(name);
+        return found == headers.end() ? std::nullopt : std::optional(found->second);
+    }
+    // The query argument's value; nothing if there is none of that name.
+    [[nodiscard]] std::optional<std::string> argument(std::string_view name) const
+    {
+        const auto found = arguments.find(name);
+        return found == arguments.end() ? std::nullopt : std::optional(found->second);
+    }
+};
+
+} // namespace curranthoist::http
--- /dev/null
+++ b/curranthoist/http/caller_server.cpp
@@ -0,0 +1,376 @@
+#include "curranthoist/http/caller_server.hpp"
+
+#include "curranthoist/http/internal/exchange.hpp"
+#include "curranthoist/http/internal/listening_socket.hpp"
+#include "curranthoist/http/internal/response_builder.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <stdexcept>
+#include <system_error>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace curranthoist::http {
+
+namespace {
+
+using internal::exchange;
+using internal::exchange_phase;
+
+// What libmicrohttpd needs of a connection's memory besides the request's headers: the
+// response's headers and its own records.
+constexpr std::size_t connection_memory_overhead = std::size_t{8} * 1024;
+// How much of a body over the limit is read, so that a caller that is still sending sees
+// the refusal rather than a reset.
+constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
+constexpr double milliseconds_per_second = 1000.0;
+
+MHD_Result collect_header(void* into, MHD_ValueKind /*kind*/, const char* key,
+                          const char* value)
+{
+    static_cast<header_map*>(into)->emplace(key, value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+MHD_Result collect_argument(void* into, MHD_ValueKind /*kind*/, const char* key,
+                            const char* value)
+{
+    static_cast<caller_request::argument_map*>(into)->emplace(
+        key, value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+std::size_t announced_length(const caller_request& request)
+{
+    std::size_t length = 0;
+    if (const auto text = request.header(MHD_HTTP_HEADER_CONTENT_LENGTH)) {
+        std::from_chars(text->data(), text->data() + text->size(), length);
+    }
+    return length;
+}
+
+std::size_t header_bytes(MHD_Connection* connection)
+{
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+    return info == nullptr ? 0 : info->header_size;
+}
+
+int descriptor_of(MHD_Connection* connection)
+{
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info == nullptr ? -1 : info->connect_fd;
+}
+
+bool is_live(int descriptor)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    return getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+           info.tcpi_state == TCP_ESTABLISHED;
+}
+
+} // namespace
+
+caller_server::caller_server(ev::loop_ref loop, caller_server_options options,
+                             request_handler on_request)
+    : loop_(loop)
+    , options_(std::move(options))
+    , on_request_(std::move(on_request))
+    , listener_(internal::open_listening_socket(options_.listen))
+    , local_(internal::bound_endpoint(listener_))
+    , close_epoll_(epoll_create1(EPOLL_CLOEXEC))
+    , daemon_watcher_(loop)
+    , daemon_timer_(loop)
+    , close_watcher_(loop)
+{
+    daemon_watcher_.set<caller_server, &caller_server::on_daemon_event>(this);
+    daemon_timer_.set<caller_server, &caller_server::on_daemon_timer>(this);
+    close_watcher_.set<caller_server, &caller_server::on_peer_close_event>(this);
+    start_daemon();
+}
+
+caller_server::~caller_server()
+{
+    daemon_watcher_.stop();
+    daemon_timer_.stop();
+    close_watcher_.stop();
+    on_connection_ = nullptr;
+    for (const auto& [connection, current] : exchanges_) {
+        current->on_close = nullptr;
+        current->phase = exchange_phase::closed;
+        if (current->suspended) {
+            MHD_resume_connection(connection);
+        }
+        current->detach();
+    }
+    MHD_stop_daemon(daemon_);
+    ::close(close_epoll_);
+}
+
+void caller_server::start_daemon()
+{
+    daemon_ = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, &accept_callback, this,
+        &access_callback, this, MHD_OPTION_LISTEN_SOCKET, listener_,
+        MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        options_.max_header_bytes + connection_memory_overhead,
+        MHD_OPTION_CONNECTION_TIMEOUT, options_.idle_seconds, MHD_OPTION_NOTIFY_COMPLETED,
+        &completed_callback, this, MHD_OPTION_NOTIFY_CONNECTION, &connection_callback,
+        this, MHD_OPTION_END);
+    if (daemon_ == nullptr) {
+        ::close(listener_);
+        ::close(close_epoll_);
+        throw std::runtime_error("cannot start the HTTP server on " + local_.str());
+    }
+    const MHD_DaemonInfo* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD);
+    daemon_watcher_.start(info->epoll_fd, ev::READ);
+    close_watcher_.start(close_epoll_, ev::READ);
+}
+
+void caller_server::run_daemon()
+{
+    MHD_run(daemon_);
+    MHD_UNSIGNED_LONG_LONG wait_ms = 0;
+    daemon_timer_.stop();
+    if (MHD_get_timeout(daemon_, &wait_ms) == MHD_YES) {
+        daemon_timer_.start(static_cast<double>(wait_ms) / milliseconds_per_second);
+    }
+}
+
+void caller_server::on_daemon_event(ev::io& /*watcher*/, int /*events*/)
+{
+    run_daemon();
+}
+
+void caller_server::on_daemon_timer(ev::timer& /*watcher*/, int /*events*/)
+{
+    run_daemon();
+}
+
+void caller_server::on_peer_close_event(ev::io& /*watcher*/, int /*events*/)
+{
+    constexpr int max_events = 64;
+    std::array<epoll_event, max_events> events{};
+    const int count = epoll_wait(close_epoll_, events.data(), max_events, 0);
+    for (int i = 0; i < count; ++i) {
+        // A handler that runs for an earlier event may have ended this exchange.
+        const auto found =
+            exchanges_.find(static_cast<MHD_Connection*>(events.at(i).data.ptr));
+        if (found != exchanges_.end() && found->second->suspended) {
+            const std::shared_ptr<exchange> current = found->second;
+            peer_closed(*current);
+        }
+    }
+}
+
+void caller_server::peer_closed(exchange& current)
+{
+    current.phase = exchange_phase::closed;
+    resume(current);
+    const std::function<void()> on_close = std::move(current.on_close);
+    current.on_close = nullptr;
+    if (on_close) {
+        on_close();
+    }
+}
+
+void caller_server::stop_accepting()
+{
+    if (!accepting_) {
+        return;
+    }
+    accepting_ = false;
+    const MHD_socket listener = MHD_quiesce_daemon(daemon_);
+    if (listener != MHD_INVALID_SOCKET) {
+        ::close(listener);
+    }
+}
+
+std::size_t caller_server::live_connections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const auto& each) { return is_live(each.second.descriptor); }));
+}
+
+MHD_Result caller_server::accept_callback(void* self, const sockaddr* /*address*/,
+                                          socklen_t /*size*/)
+{
+    const auto& server = *static_cast<caller_server*>(self);
+    return !server.accept_filter_ || server.accept_filter_() ? MHD_YES : MHD_NO;
+}
+
+void caller_server::connection_callback(void* self, MHD_Connection* connection,
+                                        void** /*context*/,
+                                        MHD_ConnectionNotificationCode code)
+{
+    auto& server = *static_cast<caller_server*>(self);
+    const bool open = code == MHD_CONNECTION_NOTIFY_STARTED;
+    if (open) {
+        const int on = 1;
+        const int descriptor = descriptor_of(connection);
+        setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        server.connections_[connection] = {++server.last_connection_, descriptor};
+    }
+    const std::uint64_t number = server.connections_[connection].number;
+    if (!open) {
+        server.connections_.erase(connection);
+    }
+    if (server.on_connection_) {
+        server.on_connection_(number, open);
+    }
+}
+
+MHD_Result caller_server::access_callback(void* self, MHD_Connection* connection,
+                                          const char* url, const char* method,
+                                          const char* /*version*/, const char* data,
+                                          std::size_t* size, void** context)
+{
+    auto& server = *static_cast<caller_server*>(self);
+    if (*context == nullptr) {
+        return server.begin_exchange(connection, url, method, context);
+    }
+    // Kept alive here: the handler can drop its responder during the call.
+    const std::shared_ptr<exchange> current = server.exchanges_.at(connection);
+    return *size > 0 ? server.continue_exchange(*current, data, size)
+                     : server.finish_exchange(*current);
+}
+
+MHD_Result caller_server::begin_exchange(MHD_Connection* connection, const char* url,
+                                         const char* method, void** context)
+{
+    auto current =
+        std::make_shared<exchange>(*this, connection, descriptor_of(connection));
+    *context = current.get();
+    exchanges_[connection] = current;
+    caller_request& request = current->request;
+    request.method = method;
+    request.path = url;
+    request.connection = connections_.at(connection).number;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect_header,
+                              &request.headers);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect_argument,
+                              &request.arguments);
+    if (header_bytes(connection) > options_.max_header_bytes) {
+        return refuse_early(connection, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+                            "the request's headers are too long");
+    }
+    const std::size_t length = announced_length(request);
+    if (length <= options_.max_body_bytes) {
+        return MHD_YES;
+    }
+    if (length > max_discarded_bytes || request.header(MHD_HTTP_HEADER_EXPECT)) {
+        return refuse_early(connection, MHD_HTTP_CONTENT_TOO_LARGE,
+                            "the request's body is too long");
+    }
+    current->phase = exchange_phase::discarding;
+    return MHD_YES;
+}
+
+MHD_Result caller_server::continue_exchange(exchange& current, const char* data,
+                                            std::size_t* size)
+{
+    std::string& body = current.request.body;
+    if (body.size() + *size > options_.max_body_bytes) {
+        current.phase = exchange_phase::discarding;
+        body.clear();
+    }
+    if (current.phase == exchange_phase::reading) {
+        body.append(data, *size);
+    }
+    else {
+        current.discarded_bytes += *size;
+    }
+    *size = 0;
+    return current.discarded_bytes > max_discarded_bytes ? MHD_NO : MHD_YES;
+}
+
+MHD_Result caller_server::finish_exchange(exchange& current)
+{
+    if (current.phase == exchange_phase::discarding) {
+        return queue_response(current.connection(),
+                              internal::refusal(MHD_HTTP_CONTENT_TOO_LARGE,
+                                                "the request's body is too long"));
+    }
+    if (current.phase == exchange_phase::reading) {
+        deliver(current);
+    }
+    if (current.phase == exchange_phase::waiting) {
+        suspend(current);
+        return MHD_YES;
+    }
+    return current.phase == exchange_phase::answered
+               ? queue_response(current.connection(), *current.response)
+               : MHD_NO;
+}
+
+void caller_server::deliver(exchange& current)
+{
+    current.phase = exchange_phase::waiting;
+    on_request_(std::move(current.request),
+                responder(exchanges_.at(current.connection())));
+}
+
+MHD_Result caller_server::refuse_early(MHD_Connection* connection, unsigned status,
+                                       std::string_view error)
+{
+    return queue_response(connection, internal::refusal(status, error));
+}
+
+MHD_Result caller_server::queue_response(MHD_Connection* connection,
+                                         const caller_response& answer)
+{
+    MHD_Response* response = internal::make_response(answer);
+    for (const auto& [name, value] : answer.headers) {
+        MHD_add_response_header(response, name.c_str(), value.c_str());
+    }
+    if (!accepting_) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
+    const MHD_Result result = MHD_queue_response(connection, answer.status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+void caller_server::suspend(exchange& current)
+{
+    MHD_suspend_connection(current.connection());
+    current.suspended = true;
+    epoll_event wanted{};
+    wanted.events = EPOLLRDHUP;
+    wanted.data.ptr = current.connection();
+    epoll_ctl(close_epoll_, EPOLL_CTL_ADD, current.descriptor(), &wanted);
+}
+
+void caller_server::resume(exchange& current)
+{
+    epoll_ctl(close_epoll_, EPOLL_CTL_DEL, current.descriptor(), nullptr);
+    current.suspended = false;
+    MHD_resume_connection(current.connection());
+    daemon_watcher_.feed_event(ev::READ);
+}
+
+void caller_server::completed_callback(void* self, MHD_Connection* connection,
+                                       void** context,
+                                       MHD_RequestTerminationCode /*code*/)
+{
+    auto& server = *static_cast<caller_server*>(self);
+    *context = nullptr;
+    const auto found = server.exchanges_.find(connection);
+    if (found != server.exchanges_.end()) {
+        found->second->detach();
+        server.exchanges_.erase(found);
+    }
+}
+
+} // namespace curranthoist::http
--- /dev/null
+++ b/curranthoist/http/caller_server.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "curranthoist/http/caller_request.hpp"
+#include "curranthoist/http/caller_server_options.hpp"
+#include "curranthoist/http/responder.hpp"
+
+#include <ev++.h>
+#include <microhttpd.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string_view>
+
+namespace curranthoist::http {
+
+// HTTP/1.1 server for callers, targets and operators: libmicrohttpd driven by the libev
+// loop. Requests are handed over whole; a request that is malformed or over a limit costs
+// its own connection and never reaches the handler.
+//
+//     http::caller_server server(loop, {.listen = {"127.0.0.1", 8080}},
+//         [](http::caller_request request, http::responder answer) {
+//             answer.respond({.body = "{}"});
+//         });
+class caller_server
+{
+public:
+    // Receives each whole request. It may answer at once or keep the responder. It must
+    // not destroy the server.
+    using request_handler = std::function<void(caller_request, responder)>;
+    // Asked for each accepted connection; false closes it at once.
+    using accept_filter = std::function<bool()>;
+    // Told when a connection opens and closes, with its number.
+    using connection_handler = std::function<void(std::uint64_t connection, bool open)>;
+
+    // Throws std::system_error if the address can't be bound.
+    caller_server(ev::loop_ref loop, caller_server_options options,
+                  request_handler on_request);
+    // Closes every connection, without calling any handler.
+    ~caller_server();
+    caller_server(const caller_server&) = delete;
+    caller_server& operator=(const caller_server&) = delete;
+
+    // Replaces the filter of new connections; empty accepts all.
+    void set_accept_filter(accept_filter filter) { accept_filter_ = std::move(filter); }
+    void set_connection_handler(connection_handler handler)
+    {
+        on_connection_ = std::move(handler);
+    }
+
+    // Closes the listening socket. Open connections keep working; each response from now
+    // on asks the caller to close its connection.
+    void stop_accepting();
+    // Requests that were received but whose responses are not completely sent.
+    [[nodiscard]] std::size_t open_requests() const { return exchanges_.size(); }
+    // Connections whose other end has not closed, as the kernel sees it now.
+    [[nodiscard]] std::size_t live_connections() const;
+    // Where it listens, with the chosen port.
+    [[nodiscard]] const base::endpoint& local() const { return local_; }
+
+private:
+    friend class internal::exchange;
+
+    struct connection_entry
+    {
+        std::uint64_t number;
+        int descriptor;
+    };
+
+    static MHD_Result accept_callback(void* self, const sockaddr* address,
+                                      socklen_t size);
+    static MHD_Result access_callback(void* self, MHD_Connection* connection,
+                                      const char* url, const char* method,
+                                      const char* version, const char* data,
+                                      std::size_t* size, void** context);
+    static void completed_callback(void* self, MHD_Connection* connection, void** context,
+                                   MHD_RequestTerminationCode code);
+    static void connection_callback(void* self, MHD_Connection* connection,
+                                    void** context, MHD_ConnectionNotificationCode code);
+
+    void start_daemon();
+    void run_daemon();
+    void on_daemon_event(ev::io& watcher, int events);
+    void on_daemon_timer(ev::timer& watcher, int events);
+    void on_peer_close_event(ev::io& watcher, int events);
+
+    MHD_Result begin_exchange(MHD_Connection* connection, const char* url,
+                              const char* method, void** context);
+    MHD_Result continue_exchange(internal::exchange& current, const char* data,
+                                 std::size_t* size);
+    MHD_Result finish_exchange(internal::exchange& current);
+    MHD_Result refuse_early(MHD_Connection* connection, unsigned status,
+                            std::string_view error);
+    MHD_Result queue_response(MHD_Connection* connection, const caller_response& answer);
+    void deliver(internal::exchange& current);
+    void suspend(internal::exchange& current);
+    void resume(internal::exchange& current);
+    void peer_closed(internal::exchange& current);
+
+    ev::loop_ref loop_;
+    caller_server_options options_;
+    request_handler on_request_;
+    accept_filter accept_filter_;
+    connection_handler on_connection_;
+    int listener_;
+    base::endpoint local_;
+    MHD_Daemon* daemon_ = nullptr;
+    // Reports closed connections while they are suspended. libmicrohttpd does not watch
+    // suspended sockets, and libev can't wait for EPOLLRDHUP without waiting for data.
+    int close_epoll_;
+    ev::io daemon_watcher_;
+    ev::timer daemon_timer_;
+    ev::io close_watcher_;
+    bool accepting_ = true;
+    std::uint64_t last_connection_ = 0;
+    std::map<MHD_Connection*, connection_entry> connections_;
+    std::map<MHD_Connection*, std::shared_ptr<internal::exchange>> exchanges_;
+};
+
+} // namespace curranthoist::http
--- /dev/null
+++ b/curranthoist/http/caller_server_test.cpp
@@ -0,0 +1,227 @@
+#include "curranthoist/http/caller_server.hpp"
+#include "curranthoist/http/internal/raw_peer.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace curranthoist::http {
+namespace {
+
+using internal::raw_peer;
+using internal::run_until;
+
+constexpr const char* get_request = "GET /a?x=1%202&y HTTP/1.1\r\nHost: h\r\n"
+                                    "REQUEST-ID: r1\r\n\r\n";
+
+class caller_server_test : public testing::Test
+{
+protected:
+    caller_server_test() { options_.listen = {"127.0.0.1", 0}; }
+
+    void start()
+    {
+        server_.emplace(loop_, options_,
+                        [this](caller_request request, responder answer) {
+                            requests_.push_back(std::move(request));
+                            answers_.push_back(std::move(answer));
+                            if (answer_at_once_) {
+                                answers_.back().respond({.body = "{}"});
+                            }
+                        });
+    }
+    bool reads(raw_peer& peer, const std::string& text)
+    {
+        return run_until(loop_,
+                         [&] { return peer.read().find(text) != std::string::npos; });
+    }
+    bool receives(std::size_t count)
+    {
+        return run_until(loop_, [&] { return requests_.size() >= count; });
+    }
+    bool still_serves()
+    {
+        raw_peer peer(server_->local());
+        answer_at_once_ = true;
+        peer.send(get_request);
+        return reads(peer, "200 OK");
+    }
+
+    ev::dynamic_loop loop_;
+    caller_server_options options_;
+    bool answer_at_once_ = false;
+    std::vector<caller_request> requests_;
+    std::vector<responder> answers_;
+    std::optional<caller_server> server_;
+};
+
+TEST_F(caller_server_test, hands_over_a_whole_request_and_answers_with_a_length)
+{
+    start();
+    raw_peer peer(server_->local());
+    peer.send(get_request);
+    ASSERT_TRUE(receives(1));
+    EXPECT_EQ(requests_[0].method, "GET");
+    EXPECT_EQ(requests_[0].path, "/a");
+    EXPECT_EQ(requests_[0].argument("x"), "1 2");
+    EXPECT_EQ(requests_[0].argument("y"), "");
+    EXPECT_EQ(requests_[0].header("request-id"), "r1");
+    EXPECT_EQ(server_->open_requests(), 1U);
+    EXPECT_TRUE(answers_[0].respond({.status = 404, .body = "later"}));
+    EXPECT_FALSE(answers_[0].respond({.body = "twice"}));
+    ASSERT_TRUE(reads(peer, "later"));
+    EXPECT_NE(peer.read().find("Content-Length: 5"), std::string::npos);
+    EXPECT_TRUE(run_until(loop_, [&] { return server_->open_requests() == 0; }));
+}
+
+TEST_F(caller_server_test, garbage_costs_one_connection_and_reaches_no_handler)
+{
+    // libmicrohttpd takes input without a request line for leading empty lines and waits.
+    options_.idle_seconds = 1;
+    start();
+    for (const std::string& garbage :
+         {std::string("\0\1\2 nonsense\r\n\r\n", 16), std::string("nonsense\r\n\r\n"),
+          std::string(3000, '\xff') + "\r\n\r\n"}) {
+        raw_peer peer(server_->local());
+        peer.send(garbage);
+        EXPECT_TRUE(run_until(loop_, [&] { return peer.ended(); })) << garbage;
+    }
+    EXPECT_TRUE(requests_.empty());
+    EXPECT_TRUE(still_serves());
+}
+
+TEST_F(caller_server_test, a_bad_chunk_costs_one_connection_and_reaches_no_handler)
+{
+    start();
+    raw_peer peer(server_->local());
+    peer.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
+    EXPECT_TRUE(run_until(loop_, [&] { return peer.ended(); }));
+    EXPECT_TRUE(requests_.empty());
+    EXPECT_TRUE(still_serves());
+}
+
+TEST_F(caller_server_test, oversize_bodies_are_refused_as_not_run)
+{
+    options_.max_body_bytes = 10;
+    start();
+    raw_peer announced(server_->local());
+    announced.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n01234567890");
+    EXPECT_TRUE(reads(announced, "not run"));
+    EXPECT_NE(announced.read().find(" 413 "), std::string::npos);
+    raw_peer chunked(server_->local());
+    chunked.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "b\r\n01234567890\r\n0\r\n\r\n");
+    EXPECT_TRUE(reads(chunked, "not run"));
+    raw_peer huge(server_->local());
+    huge.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\n");
+    EXPECT_TRUE(reads(huge, "not run"));
+    EXPECT_TRUE(requests_.empty());
+    EXPECT_TRUE(still_serves());
+}
+
+TEST_F(caller_server_test, oversize_headers_are_refused_before_the_handler)
+{
+    options_.max_header_bytes = 500;
+    start();
+    raw_peer peer(server_->local());
+    peer.send("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') + "\r\n\r\n");
+    EXPECT_TRUE(reads(peer, " 431 "));
+    raw_peer endless(server_->local());
+    endless.send("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(100'000, 'x'));
+    EXPECT_TRUE(run_until(loop_, [&] { return endless.ended(); }));
+    EXPECT_TRUE(requests_.empty());
+    EXPECT_TRUE(still_serves());
+}
+
+TEST_F(caller_server_test, a_close_is_seen_while_the_answer_is_outstanding)
+{
+    start();
+    bool closed = false;
+    raw_peer peer(server_->local());
+    peer.send(get_request);
+    ASSERT_TRUE(receives(1));
+    answers_[0].on_close([&] { closed = true; });
+    EXPECT_TRUE(answers_[0].is_open());
+    peer.close();
+    EXPECT_TRUE(run_until(loop_, [&] { return closed; }));
+    EXPECT_FALSE(answers_[0].is_open());
+    EXPECT_FALSE(answers_[0].respond({.body = "nobody"}));
+    EXPECT_TRUE(run_until(loop_, [&] { return server_->open_requests() == 0; }));
+    EXPECT_EQ(server_->live_connections(), 0U);
+}
+
+TEST_F(caller_server_test, a_dropped_responder_closes_the_connection)
+{
+    start();
+    raw_peer peer(server_->local());
+    peer.send(get_request);
+    ASSERT_TRUE(receives(1));
+    answers_.clear();
+    EXPECT_TRUE(run_until(loop_, [&] { return peer.ended(); }));
+}
+
+TEST_F(caller_server_test, a_responder_outlives_the_server)
+{
+    start();
+    raw_peer peer(server_->local());
+    peer.send(get_request);
+    ASSERT_TRUE(receives(1));
+    server_.reset();
+    EXPECT_FALSE(answers_[0].respond({.body = "{}"}));
+}
+
+TEST_F(caller_server_test, a_stop_refuses_connections_and_finishes_open_requests)
+{
+    start();
+    raw_peer peer(server_->local());
+    peer.send(get_request);
+    ASSERT_TRUE(receives(1));
+    server_->stop_accepting();
+    EXPECT_FALSE(raw_peer(server_->local()).connected());
+    EXPECT_EQ(server_->open_requests(), 1U);
+    answers_[0].respond({.body = "done"});
+    EXPECT_TRUE(reads(peer, "done"));
+    EXPECT_TRUE(run_until(loop_, [&] { return peer.ended(); }));
+    EXPECT_EQ(server_->open_requests(), 0U);
+}
+
+TEST_F(caller_server_test, connections_over_the_limit_are_closed)
+{
+    options_.max_connections = 1;
+    start();
+    raw_peer first(server_->local());
+    first.send(get_request);
+    ASSERT_TRUE(receives(1));
+    raw_peer second(server_->local());
+    second.send(get_request);
+    run_until(
+        loop_, [&] { return second.ended(); }, 0.1);
+    EXPECT_EQ(requests_.size(), 1U);
+    EXPECT_TRUE(answers_[0].respond({.body = "first"}));
+    EXPECT_TRUE(reads(first, "first"));
+}
+
+TEST_F(caller_server_test, listens_on_the_given_address_only)
+{
+    options_.listen = {"127.0.0.2", 0};
+    start();
+    EXPECT_TRUE(raw_peer(server_->local()).connected());
+    EXPECT_FALSE(raw_peer({"127.0.0.1", server_->local().port}).connected());
+}
+
+TEST_F(caller_server_test, a_truncated_response_announces_its_whole_length)
+{
+    start();
+    raw_peer peer(server_->local());
+    peer.send(get_request);
+    ASSERT_TRUE(receives(1));
+    answers_[0].respond({.body = "0123456789", .break_after = 4});
+    EXPECT_TRUE(run_until(loop_, [&] { return peer.ended(); }));
+    EXPECT_NE(peer.read().find("Content-Length: 10"), std::string::npos);
+    EXPECT_TRUE(peer.read().ends_with("0123"));
+}
+
+} // namespace
+} // namespace curranthoist::http
--- /dev/null
+++ b/curranthoist/http/target_client.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "curranthoist/base/endpoint.hpp"
+#include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/http/target_call.hpp"
+#include "curranthoist/http/target_result.hpp"
+
+#include <curl/curl.h>
+#include <ev++.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace curranthoist::http {
+
+namespace internal {
+struct running_call;
+struct target_socket;
+} // namespace internal
+
+// HTTP/1.1 client of one target with a pool of kept connections of its own, on the libev
+// loop. Each call is sent at most once: libcurl's resend on another connection is
+// refused. Redirects and proxies are never followed.
+//
+//     http::target_client client(loop, {"10.0.3.7", 8080}, 6);
+//     client.start({.path = "/v1/part?...", .body = "{}", .time_limit = 200_ms},
+//                  [](http::target_result result) { ... });
+class target_client
+{
+public:
+    using call_number = std::uint64_t;
+    // Receives the result, once, from the loop and never inside start() or cancel(). It
+    // may start and cancel calls but must not destroy the client.
+    using result_handler = std::function<void(target_result)>;
+
+    // Has at most `max_connections` sockets open at any time. Calls beyond that number
+    // wait, in order, within their time limits.
+    target_client(ev::loop_ref loop, base::endpoint remote, std::size_t max_connections);
+    // Closes all connections; results that are not delivered yet are dropped.
+    ~target_client();
+    target_client(const target_client&) = delete;
+    target_client& operator=(const target_client&) = delete;
+
+    call_number start(target_call call, result_handler on_done);
+    // Ends a call and closes its connection; its result is `cancelled`. Does nothing if
+    // the call has ended.
+    void cancel(call_number number);
+
+    // Changes the limit for connections that are opened from now on. Idle connections
+    // above the limit are closed as calls end.
+    void set_max_connections(std::size_t max_connections);
+
+    [[nodiscard]] std::size_t open_sockets() const { return sockets_.size(); }
+    // The most sockets that were open at once.
+    [[nodiscard]] std::size_t peak_sockets() const { return peak_sockets_; }
+    // Calls whose results are not delivered yet.
+    [[nodiscard]] std::size_t open_calls() const;
+    [[nodiscard]] const base::endpoint& remote() const { return remote_; }
+
+private:
+    using call_pointer = std::unique_ptr<internal::running_call>;
+
+    static int socket_callback(CURL* handle, curl_socket_t descriptor, int what,
+                               void* self, void* socket);
+    static int timer_callback(CURLM* multi, long wait_ms, void* self);
+    static curl_socket_t open_socket_callback(void* call, curlsocktype purpose,
+                                              curl_sockaddr* address);
+    static int close_socket_callback(void* self, curl_socket_t descriptor);
+    static int request_callback(void* call, char* remote_address, char* local_address,
+                                int remote_port, int local_port);
+
+    [[nodiscard]] CURL* take_handle();
+    void prepare(internal::running_call& current);
+    void start_waiting_calls();
+    void watch_socket(curl_socket_t descriptor, int what);
+    bool assign_connection(internal::running_call& current, int local_port);
+    internal::target_socket* socket_with_port(int local_port);
+    void collect_finished_calls();
+    void end_call(call_number number, call_outcome outcome);
+    void release_handle(internal::running_call& current);
+    void deliver_results();
+
+    void on_socket_event(ev::io& watcher, int events);
+    void on_curl_timer(ev::timer& watcher, int events);
+    void on_deadline(ev::timer& watcher, int events);
+    void on_delivery(ev::timer& watcher, int events);
+
+    ev::loop_ref loop_;
+    base::endpoint remote_;
+    base::monotonic_clock clock_;
+    std::size_t max_connections_;
+    CURLM* multi_;
+    ev::timer curl_timer_;
+    ev::timer delivery_timer_;
+    std::uint64_t last_connection_ = 0;
+    call_number last_call_ = 0;
+    std::size_t peak_sockets_ = 0;
+    std::size_t active_calls_ = 0;
+    std::map<curl_socket_t, std::unique_ptr<internal::target_socket>> sockets_;
+    std::map<call_number, call_pointer> calls_;
+    // Calls that wait for a connection; ended ones are skipped.
+    std::deque<call_number> waiting_;
+    std::deque<std::pair<result_handler, target_result>> finished_;
+    // Handles for reuse; creating one costs more than a reset.
+    std::vector<CURL*> idle_handles_;
+};
+
+} // namespace curranthoist::http
--- /dev/null
+++ b/curranthoist/http/target_client_test.cpp
@@ -0,0 +1,330 @@
+#include "curranthoist/http/caller_server.hpp"
+#include "curranthoist/http/internal/listening_socket.hpp"
+#include "curranthoist/http/internal/raw_peer.hpp"
+#include "curranthoist/http/target_client.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/ioctl.h>
+
+namespace curranthoist::http {
+namespace {
+
+using internal::run_until;
+
+// A server that reads raw requests and writes what the test tells it to. It counts
+// request lines, which shows whether libcurl sent one twice.
+class raw_server
+{
+public:
+    explicit raw_server(ev::loop_ref loop)
+        : listener_(internal::open_listening_socket({"127.0.0.1", 0}))
+        , watcher_(loop)
+        , loop_(loop)
+    {
+        watcher_.set<raw_server, &raw_server::on_accept>(this);
+        watcher_.start(listener_, ev::READ);
+    }
+    ~raw_server()
+    {
+        for (const auto& [descriptor, watcher] : peers_) {
+            ::close(descriptor);
+        }
+        ::close(listener_);
+    }
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    [[nodiscard]] base::endpoint local() const
+    {
+        return internal::bound_endpoint(listener_);
+    }
+    static void write(int descriptor, std::string_view bytes)
+    {
+        ::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    // True once the other end's kernel has everything that was written.
+    static bool has_arrived(int descriptor)
+    {
+        int unsent = 0;
+        return ::ioctl(descriptor, TIOCOUTQ, &unsent) == 0 && unsent == 0;
+    }
+    void close(int descriptor)
+    {
+        peers_.erase(descriptor);
+        ::close(descriptor);
+    }
+
+    // Called with each chunk of input that has a request line.
+    std::function<void(int descriptor)> on_request;
+    int request_lines = 0;
+    int connections = 0;
+
+private:
+    void on_accept(ev::io& /*watcher*/, int /*events*/)
+    {
+        const int peer = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+        ++connections;
+        auto& watcher = peers_[peer];
+        watcher = std::make_unique<ev::io>(loop_);
+        watcher->set<raw_server, &raw_server::on_input>(this);
+        watcher->start(peer, ev::READ);
+    }
+    void on_input(ev::io& watcher, int /*events*/)
+    {
+        char buffer[65536];
+        const int descriptor = watcher.fd;
+        const ssize_t count = ::recv(descriptor, buffer, sizeof buffer, MSG_DONTWAIT);
+        if (count <= 0) {
+            close(descriptor);
+            return;
+        }
+        if (std::string_view(buffer, static_cast<std::size_t>(count)).find("HTTP/1.1") !=
+            std::string_view::npos) {
+            ++request_lines;
+            on_request(descriptor);
+        }
+    }
+
+    int listener_;
+    ev::io watcher_;
+    ev::loop_ref loop_;
+    std::map<int, std::unique_ptr<ev::io>> peers_;
+};
+
+class target_client_test : public testing::Test
+{
+protected:
+    target_client_test()
+        : server_(loop_)
+    {
+        connect(4);
+        respond_with("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    }
+    void connect(std::size_t cap) { client_.emplace(loop_, server_.local(), cap); }
+    void respond_with(const std::string& response)
+    {
+        server_.on_request = [response](int peer) { raw_server::write(peer, response); };
+    }
+    void respond_and_close(const std::string& response)
+    {
+        server_.on_request = [this, response](int peer) {
+            raw_server::write(peer, response);
+            server_.close(peer);
+        };
+    }
+    target_client::call_number start(target_call call)
+    {
+        call.path = "/v1/part";
+        return client_->start(std::move(call), [this](target_result result) {
+            results_.push_back(std::move(result));
+        });
+    }
+    bool finish(std::size_t count)
+    {
+        return run_until(loop_, [&] { return results_.size() >= count; });
+    }
+    target_result call(target_call request)
+    {
+        const std::size_t before = results_.size();
+        start(std::move(request));
+        EXPECT_TRUE(finish(before + 1));
+        return results_.empty() ? target_result{} : results_.back();
+    }
+
+    ev::dynamic_loop loop_;
+    raw_server server_;
+    std::optional<target_client> client_;
+    std::vector<target_result> results_;
+};
+
+TEST_F(target_client_test, keeps_connections_and_numbers_them)
+{
+    const target_result first = call({.body = "q"});
+    EXPECT_EQ(first.outcome, call_outcome::ok);
+    EXPECT_EQ(first.status, 200U);
+    EXPECT_EQ(first.body, "{}");
+    EXPECT_TRUE(first.connection_was_new);
+    const target_result second = call({.body = "q"});
+    EXPECT_EQ(second.connection, first.connection);
+    EXPECT_FALSE(second.connection_was_new);
+    EXPECT_EQ(server_.connections, 1);
+}
+
+TEST_F(target_client_test, an_order_uses_a_connection_of_its_own)
+{
+    call({});
+    const target_result order = call({.fresh_connection = true});
+    EXPECT_TRUE(order.connection_was_new);
+    EXPECT_EQ(order.connection, 2U);
+    EXPECT_EQ(call({}).connection, 1U);
+    EXPECT_EQ(client_->open_sockets(), 1U);
+}
+
+TEST_F(target_client_test, a_request_on_a_broken_kept_connection_is_not_sent_again)
+{
+    call({});
+    server_.on_request = [this](int peer) { server_.close(peer); };
+    const target_result broken = call({.body = "order"});
+    EXPECT_EQ(broken.outcome, call_outcome::connection_broken);
+    EXPECT_TRUE(broken.request_may_have_left);
+    EXPECT_EQ(server_.request_lines, 2);
+    const target_result fresh = call({.body = "order", .fresh_connection = true});
+    EXPECT_EQ(fresh.outcome, call_outcome::connection_broken);
+    EXPECT_TRUE(fresh.request_may_have_left);
+    // Time enough for a resend to arrive, if there were one.
+    run_until(
+        loop_, [this] { return server_.request_lines > 3; }, 0.2);
+    EXPECT_EQ(server_.request_lines, 3);
+}
+
+TEST_F(target_client_test, no_connection_means_that_nothing_left)
+{
+    const int listener = internal::open_listening_socket({"127.0.0.1", 0});
+    const base::endpoint closed = internal::bound_endpoint(listener);
+    ::close(listener);
+    client_.emplace(loop_, closed, 2);
+    const target_result result = call({});
+    EXPECT_EQ(result.outcome, call_outcome::could_not_connect);
+    EXPECT_FALSE(result.request_may_have_left);
+    EXPECT_EQ(result.connection, 0U);
+}
+
+TEST_F(target_client_test, truncated_responses_are_not_taken_for_whole)
+{
+    const std::vector<std::string> truncated = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+        "HTTP/1.1 200 OK\r\n\r\nneither length nor chunks",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nResult-Length: 3\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nContent-Le",
+    };
+    for (const std::string& response : truncated) {
+        respond_and_close(response);
+        EXPECT_EQ(call({}).outcome, call_outcome::truncated) << response;
+    }
+    respond_and_close("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                      "Result-Length: 2\r\n\r\n2\r\n{}\r\n0\r\n\r\n");
+    EXPECT_EQ(call({}).outcome, call_outcome::ok);
+}
+
+TEST_F(target_client_test, a_response_to_another_request_is_not_counted)
+{
+    respond_with("HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 2\r\n\r\n{}");
+    const target_result crossed = call({.headers = {{"Request-Id", "a"}}});
+    EXPECT_EQ(crossed.outcome, call_outcome::mismatched);
+    const target_result own = call({.headers = {{"Request-Id", "b"}}});
+    EXPECT_EQ(own.outcome, call_outcome::ok);
+    EXPECT_TRUE(own.connection_was_new);
+}
+
+TEST_F(target_client_test, a_late_second_response_is_not_taken_for_the_next_one)
+{
+    call({});
+    int peer = -1;
+    server_.on_request = [&](int from) {
+        peer = from;
+        raw_server::write(from, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    };
+    call({});
+    raw_server::write(peer, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+    ASSERT_TRUE(run_until(loop_, [&] { return raw_server::has_arrived(peer); }));
+    const target_result next = call({});
+    EXPECT_EQ(next.outcome, call_outcome::connection_broken);
+    EXPECT_FALSE(next.request_may_have_left);
+    EXPECT_EQ(server_.request_lines, 2);
+    EXPECT_EQ(call({}).body, "{}");
+}
+
+TEST_F(target_client_test, a_silent_connection_times_out_and_is_not_used_again)
+{
+    const target_result first = call({});
+    server_.on_request = [](int /*peer*/) {};
+    const target_result silent = call({.time_limit = base::duration(50)});
+    EXPECT_EQ(silent.outcome, call_outcome::timed_out);
+    EXPECT_EQ(silent.connection, first.connection);
+    EXPECT_TRUE(silent.request_may_have_left);
+    EXPECT_GE(silent.elapsed, base::duration(49));
+    EXPECT_LT(silent.elapsed, base::duration(1000));
+    EXPECT_EQ(client_->open_sockets(), 0U);
+    respond_with("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    EXPECT_TRUE(call({}).connection_was_new);
+}
+
+TEST_F(target_client_test, a_cancelled_call_closes_its_connection)
+{
+    server_.on_request = [](int /*peer*/) {};
+    const target_client::call_number number = start({});
+    ASSERT_TRUE(run_until(loop_, [this] { return server_.request_lines == 1; }));
+    client_->cancel(number);
+    EXPECT_TRUE(results_.empty());
+    EXPECT_EQ(client_->open_sockets(), 0U);
+    ASSERT_TRUE(finish(1));
+    EXPECT_EQ(results_[0].outcome, call_outcome::cancelled);
+    EXPECT_TRUE(results_[0].request_may_have_left);
+}
+
+TEST_F(target_client_test, the_cap_on_connections_holds_and_waiting_calls_time_out)
+{
+    connect(2);
+    server_.on_request = [](int /*peer*/) {};
+    for (int i = 0; i < 6; ++i) {
+        start({.time_limit = base::duration(100)});
+    }
+    ASSERT_TRUE(finish(6));
+    EXPECT_EQ(client_->peak_sockets(), 2U);
+    EXPECT_EQ(server_.request_lines, 2);
+    EXPECT_FALSE(results_.back().request_may_have_left);
+}
+
+TEST_F(target_client_test, fresh_connections_stay_within_the_cap)
+{
+    connect(3);
+    for (std::size_t i = 0; i < 200; ++i) {
+        start({.time_limit = base::duration(5000), .fresh_connection = i % 3 == 0});
+    }
+    ASSERT_TRUE(finish(200));
+    for (const target_result& result : results_) {
+        EXPECT_EQ(result.outcome, call_outcome::ok);
+    }
+    EXPECT_LE(client_->peak_sockets(), 3U);
+    EXPECT_EQ(server_.request_lines, 200);
+}
+
+TEST_F(target_client_test, a_long_body_is_refused)
+{
+    respond_with("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" +
+                 std::string(100, 'x'));
+    EXPECT_EQ(call({.max_body_bytes = 99}).outcome, call_outcome::too_large);
+    EXPECT_EQ(call({.max_body_bytes = 100}).outcome, call_outcome::ok);
+}
+
+TEST_F(target_client_test, follows_no_redirect_and_no_proxy_from_the_environment)
+{
+    ::setenv("http_proxy", "http://127.0.0.1:1", 1);
+    respond_with("HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n");
+    const target_result result = call({});
+    ::unsetenv("http_proxy");
+    EXPECT_EQ(result.outcome, call_outcome::ok);
+    EXPECT_EQ(result.status, 302U);
+    EXPECT_EQ(server_.request_lines, 1);
+}
+
+TEST_F(target_client_test, a_client_with_open_calls_can_be_destroyed)
+{
+    server_.on_request = [](int /*peer*/) {};
+    start({});
+    ASSERT_TRUE(run_until(loop_, [this] { return server_.request_lines == 1; }));
+    client_.reset();
+    EXPECT_TRUE(results_.empty());
+}
+
+} // namespace
+} // namespace curranthoist::http
