--- /dev/null
+++ b/curranthoist/admission/latency_window.cpp
@@ -0,0 +1,35 @@
+#include "curranthoist/admission/latency_window.hpp"
+
+#include <algorithm>
+
+namespace curranthoist::admission {
+
+void latency_window::add(base::duration sample)
+{
+    samples_[next_] = sample;
+    next_ = (next_ + 1) % capacity;
+    size_ = std::min(size_ + 1, capacity);
+}
+
+std::optional<base::duration> latency_window::quantile(int percent) const
+{
+    constexpr std::size_t hundred = 100;
+    if (size_ == 0) {
+        return std::nullopt;
+    }
+    auto sorted = samples_;
+    const std::size_t rank =
+        (size_ * static_cast<std::size_t>(percent) + hundred - 1) / hundred;
+    const auto at = sorted.begin() + static_cast<std::ptrdiff_t>(rank > 0 ? rank - 1 : 0);
+    std::nth_element(sorted.begin(), at,
+                     sorted.begin() + static_cast<std::ptrdiff_t>(size_));
+    return *at;
+}
+
+void latency_window::clear()
+{
+    size_ = 0;
+    next_ = 0;
+}
+
+} // namespace curranthoist::admission
--- a/curranthoist/admission/limit_policy.hpp
+++ b/curranthoist/admission/limit_policy.hpp
@@ -35,8 +35,9 @@
     [[nodiscard]] owner_limits limits(std::uint32_t slots,
                                       std::uint32_t connections) const
     {
-        return {slots, std::max(1U, std::min(connections / 3, 2 * slots + 2)),
-                queued_per_slot * slots};
+        return {std::max(1U, slots),
+                std::max(1U, std::min(connections / 3, 2 * slots + 2)),
+                queued_per_slot * std::max(1U, slots)};
     }
 };
 
--- /dev/null
+++ b/curranthoist/admission/target_admission.cpp
@@ -0,0 +1,7 @@
+#include "curranthoist/admission/target_admission.hpp"
+
+namespace curranthoist::admission {
+
+template class target_admission<configured_limits, configured_return>;
+
+} // namespace curranthoist::admission
--- a/curranthoist/admission/target_admission.hpp
+++ b/curranthoist/admission/target_admission.hpp
@@ -50,8 +50,10 @@
 //
 // Connections: one libcurl multi handle a target with a cap of connection_limit(). The
 // shell reports every socket that libcurl opens (with the call it is opened for) and
-// closes. A fresh call at the cap lets libcurl close its oldest idle connection first.
-// Every started call ends by one on_result() or by a cancel_call action, never by both.
+// closes, with the number of sockets then open. A fresh call at the cap lets libcurl
+// close its oldest idle connection first. Every started call ends by one on_result() or
+// by a cancel_call action, never by both. An event that occurs while actions are carried
+// out (a cancelled call closes its socket) is reported after the last of them.
 template <limit_policy Limits = configured_limits,
           return_policy Return = configured_return>
 class target_admission
@@ -66,6 +68,10 @@
     static constexpr base::duration overdue_without_history{500};
     // How often a target that status polls call unreachable may be tried.
     static constexpr base::duration probe_interval{2000};
+    // Calls in a row without any response after which the target counts as unreachable.
+    static constexpr int failures_when_away = 3;
+    // A lease that ends sooner leaves no time for a request.
+    static constexpr base::duration least_lease{5};
 
     explicit target_admission(const target_admission_options& options, Limits limits = {},
                               Return return_rule = {});
@@ -82,8 +88,10 @@
     // A started call ended. A result of an unknown call is ignored.
     [[nodiscard]] actions on_result(base::instant now, std::uint64_t call,
                                     const call_result& result);
-    [[nodiscard]] actions on_connection_opened(base::instant now, std::uint64_t call);
-    [[nodiscard]] actions on_connection_closed(base::instant now);
+    // libcurl opened a socket for the call; the shell now has `open` sockets.
+    [[nodiscard]] actions on_connection_opened(base::instant now, std::uint64_t call,
+                                               std::uint32_t open);
+    [[nodiscard]] actions on_connection_closed(base::instant now, std::uint32_t open);
     // A status poll's outcome. It can only take work away.
     [[nodiscard]] actions on_status(base::instant now, const target_status& status);
     [[nodiscard]] actions on_time(base::instant now);
@@ -91,11 +99,11 @@
     // and ends with one target_released. Use it for a handover and for a stop.
     [[nodiscard]] actions stop_sending(base::instant now);
 
-    // When on_time() must be called; instant::max() if never.
-    [[nodiscard]] base::instant next_wakeup(base::instant now) const;
+    // When on_time() must be called, after the latest event; instant::max() if never.
+    [[nodiscard]] base::instant next_wakeup() const;
     // Whether coordinators should send here: the target fact's `reachable`.
     [[nodiscard]] bool takes_work(base::instant now) const;
-    [[nodiscard]] bool draining() const { return status_.draining; }
+    [[nodiscard]] bool draining() const { return draining_; }
     [[nodiscard]] bool warm() const { return return_.warm(); }
     [[nodiscard]] std::uint64_t pace_milli_per_s() const
     {
@@ -116,8 +124,10 @@
     {
         base::instant started;
         base::instant deadline;
-        // Asked for a new connection that is not open yet.
+        // Asked for a new connection that is not open yet; if an idle one is closed
+        // first.
         bool opening = false;
+        bool replaces_idle = false;
         // Overdue: the connection may be silent and is not used again.
         bool suspect = false;
         // Cancelled by the coordinator, but kept to learn whether its connection is
@@ -127,27 +137,32 @@
 
     using queue_key = std::pair<base::instant, std::uint64_t>;
 
+    void settle(base::instant now, actions& out);
+    void watch_running(base::instant now, actions& out);
     void start_waiting(base::instant now, actions& out);
+    void start(base::instant now, const admission_request& request, actions& out);
     void reject_hopeless(base::instant now, actions& out);
     void reject_all(reject_reason reason, std::string_view text, actions& out);
-    bool start_first(base::instant now, actions& out);
-    void end_call(base::instant now, std::uint64_t call, actions& out, bool timed_out);
-    void watch_running(base::instant now, actions& out);
+    void cancel_running(base::instant now, std::uint64_t call, bool timed_out,
+                        actions& out);
+    void release_call(base::instant now, const running_call& call, bool may_run_on);
+    void end_opening(running_call& call);
     void learn(base::instant now, const running_call& call, const call_result& result);
-    void note_timeout(const running_call& call);
-    void note_good(base::instant now, const call_result& result);
+    void on_response(base::instant now, const call_result& result, bool turned_cold);
+    void on_no_response(base::instant now, const running_call& call);
+    void turn_cold(base::instant now, bool restarted);
     void finish_stop(actions& out);
-    void settle(base::instant now, actions& out);
-    void turn_cold(base::instant now);
     [[nodiscard]] std::optional<reject_call>
     refusal(base::instant now, const admission_request& request) const;
     [[nodiscard]] bool may_start(base::instant now) const;
-    [[nodiscard]] bool connection_available(bool fresh) const;
+    [[nodiscard]] bool lease_too_short(base::instant now,
+                                       const admission_request& request) const;
     [[nodiscard]] std::uint32_t idle_connections() const;
     [[nodiscard]] std::uint32_t slot_limit() const;
-    [[nodiscard]] base::instant first_slot_free(base::instant now) const;
+    [[nodiscard]] base::instant expected_start(base::instant now) const;
     [[nodiscard]] base::duration start_interval() const;
     [[nodiscard]] base::duration overdue_after() const;
+    [[nodiscard]] std::uint64_t capacity_milli_per_s() const;
 
     Limits limit_policy_;
     Return return_;
@@ -161,13 +176,29 @@
     connection_ledger ledger_;
     cold_detector detector_;
     latency_window recent_;
-    target_status status_;
     base::instant last_response_;
-    base::instant next_probe_ = base::instant::max();
-    bool probe_running_ = false;
+    // Calls without any response since the last response.
+    int failures_ = 0;
+    bool draining_ = false;
+    // Unreachable by a poll or by its results: one request per probe interval is let
+    // through, and a good result ends it.
+    bool away_ = false;
+    base::instant next_probe_;
+    // The time of the latest event.
+    base::instant settled_;
     bool stopping_ = false;
     bool closing_ = false;
     bool released_ = false;
 };
 
 } // namespace curranthoist::admission
+
+#include "curranthoist/admission/target_admission_estimates.hpp"
+#include "curranthoist/admission/target_admission_impl.hpp"
+
+namespace curranthoist::admission {
+
+// The instantiation that the entry process uses is compiled once.
+extern template class target_admission<configured_limits, configured_return>;
+
+} // namespace curranthoist::admission
--- a/curranthoist/execution/order_action.hpp
+++ b/curranthoist/execution/order_action.hpp
@@ -11,8 +11,8 @@
 
 namespace curranthoist::execution {
 
-// Ask control for the request id, once. Report a session that can't be used or breaks by
-// on_claim_lost().
+// Ask control for the request id. A session that is not open is reported as a reply
+// `unavailable`; one that breaks before the reply by on_claim_lost().
 struct claim_order
 {
     std::uint64_t attempt = 0;
@@ -27,8 +27,8 @@
     base::instant deadline;
 };
 
-// Cancel nothing at the target, only record what became of the claim. Repeated until
-// on_outcome_recorded() is called.
+// Tell control what became of the granted claim. Repeated until on_outcome_recorded() is
+// called.
 struct record_outcome
 {
     std::uint64_t attempt = 0;
--- /dev/null
+++ b/curranthoist/routing/latency_tracker.cpp
@@ -0,0 +1,15 @@
+#include "curranthoist/routing/latency_tracker.hpp"
+
+namespace curranthoist::routing {
+
+void latency_tracker::add(base::duration latency)
+{
+    constexpr int percent = 95;
+    window_.add(latency);
+    if (window_.size() >= least_samples && ++since_update_ >= samples_per_update) {
+        p95_ = window_.quantile(percent).value_or(without_history);
+        since_update_ = 0;
+    }
+}
+
+} // namespace curranthoist::routing
--- /dev/null
+++ b/curranthoist/routing/replica_choice.cpp
@@ -0,0 +1,53 @@
+#include "curranthoist/routing/replica_choice.hpp"
+
+#include <algorithm>
+
+namespace curranthoist::routing {
+namespace {
+
+// An expected wait: requests ahead times service time.
+std::int64_t score(const candidate& option)
+{
+    // A cold target runs one request at a time at a limited rate.
+    constexpr std::int64_t cold_factor = 4;
+    const std::int64_t length =
+        std::max<std::int64_t>(1, option.load.service_time.count());
+    const std::int64_t ahead = std::int64_t{option.load.total()} + 1;
+    return ahead * length * (option.where->cold ? cold_factor : 1);
+}
+
+} // namespace
+
+std::size_t power_of_two::choose(std::span<const candidate> candidates, base::instant now,
+                                 base::random_source& random) const
+{
+    const auto starved =
+        std::find_if(candidates.begin(), candidates.end(), [&](const candidate& option) {
+            return option.load.outstanding == 0 &&
+                   now - option.load.last_sent >= probe_interval;
+        });
+    if (starved != candidates.end()) {
+        return static_cast<std::size_t>(starved - candidates.begin());
+    }
+    const std::size_t first = random.below(candidates.size());
+    if (candidates.size() == 1) {
+        return first;
+    }
+    const std::size_t step = 1 + random.below(candidates.size() - 1);
+    const std::size_t second = (first + step) % candidates.size();
+    return score(candidates[second]) < score(candidates[first]) ? second : first;
+}
+
+std::size_t random_replica::choose(std::span<const candidate> candidates, base::instant,
+                                   base::random_source& random) const
+{
+    return random.below(candidates.size());
+}
+
+std::size_t round_robin::choose(std::span<const candidate> candidates, base::instant,
+                                base::random_source&)
+{
+    return next_++ % candidates.size();
+}
+
+} // namespace curranthoist::routing
--- a/curranthoist/routing/scatter.hpp
+++ b/curranthoist/routing/scatter.hpp
@@ -26,6 +26,9 @@
     base::duration answer_margin{15};
 };
 
+// Why an attempt with that status is no answer.
+std::string_view reason_text(wire::part_status status);
+
 // One query: chooses the snapshot, sends one message to each owner VM, checks the
 // replies, retries and hedges within the service's budget, and responds exactly once. It
 // does no I/O; the shell carries out the actions of each event in their order:
@@ -87,35 +90,41 @@
     struct shard_state
     {
         bool answered = false;
-        // No further attempt can be made; closed unless one is open.
-        bool exhausted = false;
-        bool hedged = false;
+        // Sends in this snapshot.
         std::size_t attempts = 0;
         std::vector<open_attempt> open;
         std::set<base::target_id> tried;
+        // The earliest time of the next try to hedge or to replace a silent attempt.
+        base::instant next_try;
+        // Of the last failure.
         std::string reason;
         std::string body;
     };
 
+    // A try that found no token or no idle replica is repeated after this time.
+    static constexpr base::duration next_try_after{10};
+
     void begin(base::instant now, base::snapshot_version version, actions& out);
     void restart(base::instant now, actions& out);
-    void count(base::instant now, shard_state& shard, const part_reply& reply,
-               actions& out);
-    void fail(base::instant now, shard_state& shard, const part_reply& reply,
+    void count(base::instant now, shard_state& shard, const part_attempt& sent,
+               const part_reply& reply, actions& out);
+    void fail(base::instant now, std::size_t number, std::size_t index,
               std::string_view reason, actions& out);
-    void retry(base::instant now, std::uint32_t number, actions& out);
-    void watch_shard(base::instant now, std::uint32_t number, actions& out);
-    void send(base::instant now, std::uint32_t number, const replica& where,
-              actions& out);
+    void watch_shard(base::instant now, std::size_t number, actions& out);
+    bool send_extra(base::instant now, std::size_t number, bool only_unloaded,
+                    actions& out);
+    void send(base::instant now, std::size_t number, const replica& where, actions& out);
     void close_attempts(shard_state& shard, actions& out);
-    void finish_if_done(base::instant now, actions& out);
+    void finish_if_done(actions& out);
     void finish(actions& out);
     void refuse(std::string text, actions& out);
     void count_late(const part_reply& reply);
     [[nodiscard]] respond result();
-    [[nodiscard]] const replica* choose(base::instant now, std::uint32_t number,
+    [[nodiscard]] const replica* choose(base::instant now, std::size_t number,
                                         bool only_unloaded);
-    [[nodiscard]] bool extra_possible(const shard_state& shard) const;
+    // The shard and the place in its list of the open attempt with that part number; the
+    // number of shards if there is none.
+    [[nodiscard]] std::pair<std::size_t, std::size_t> find_open(std::uint64_t part) const;
     [[nodiscard]] base::instant answer_time() const
     {
         return options_.deadline - options_.answer_margin;
@@ -138,3 +147,13 @@
 };
 
 } // namespace curranthoist::routing
+
+#include "curranthoist/routing/scatter_impl.hpp"
+#include "curranthoist/routing/scatter_parts.hpp"
+
+namespace curranthoist::routing {
+
+// The instantiation that the entry process uses is compiled once.
+extern template class scatter<configured_choice, configured_hedging, strict_reply_check>;
+
+} // namespace curranthoist::routing
--- /dev/null
+++ b/curranthoist/routing/snapshot_choice.cpp
@@ -0,0 +1,37 @@
+#include "curranthoist/routing/snapshot_choice.hpp"
+
+#include <algorithm>
+
+namespace curranthoist::routing {
+
+std::size_t snapshot_view::usable_shards() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(shards.begin(), shards.end(),
+                      [](const auto& replicas) { return !replicas.empty(); }));
+}
+
+std::optional<base::snapshot_version>
+choose_snapshot(const service_map& service,
+                std::span<const base::snapshot_version> excluded)
+{
+    std::optional<base::snapshot_version> best;
+    std::size_t best_usable = 0;
+    std::size_t best_total = 1;
+    // From the newest on, so that an older version must be strictly better.
+    for (auto view = service.snapshots.rbegin(); view != service.snapshots.rend();
+         ++view) {
+        const std::size_t usable = view->second.usable_shards();
+        const std::size_t total = view->second.shards.size();
+        const bool left_out =
+            std::find(excluded.begin(), excluded.end(), view->first) != excluded.end();
+        if (!left_out && usable * best_total > best_usable * total) {
+            best = view->first;
+            best_usable = usable;
+            best_total = total;
+        }
+    }
+    return best;
+}
+
+} // namespace curranthoist::routing
