--- a/curranthoist/control/controller.cpp
+++ b/curranthoist/control/controller.cpp
@@ -332,6 +332,12 @@
     return state_.open_incarnation(session.vm) == session.run;
 }
 
+bool controller::is_connected(const base::vm_id& vm) const
+{
+    const std::optional<base::incarnation> run = state_.open_incarnation(vm);
+    return run && has_session(vm, *run);
+}
+
 std::optional<session_number> controller::session_of(const base::vm_id& vm,
                                                      base::incarnation run) const
 {
--- a/curranthoist/control/controller.hpp
+++ b/curranthoist/control/controller.hpp
@@ -66,6 +66,8 @@
     [[nodiscard]] bool is_ready() const { return leader_ && ready_; }
     [[nodiscard]] const lease_controller& leases() const { return leases_; }
     [[nodiscard]] const roster& facts() const { return roster_; }
+    // Whether the open process of the VM has a session here.
+    [[nodiscard]] bool is_connected(const base::vm_id& vm) const;
 
 private:
     struct session_state
--- /dev/null
+++ b/curranthoist/ctl/main.cpp
@@ -0,0 +1,117 @@
+#include "curranthoist/base/endpoint.hpp"
+#include "curranthoist/base/findings_error.hpp"
+#include "curranthoist/ctl/commands.hpp"
+
+#include <CLI/CLI.hpp>
+#include <curl/curl.h>
+
+#include <iostream>
+#include <string>
+
+namespace {
+
+using curranthoist::ctl::commands;
+using curranthoist::ctl::exit_code;
+using curranthoist::ctl::options;
+
+constexpr const char* footer = R"(Intents: a JSON object, or a kind and key=value words:
+  curranthoist-ctl --control 10.0.0.1:8081 apply zone_out zone=nadi
+
+Exit codes:
+  0  done
+  2  mistakes in the command line or in an intent
+  3  the rules refuse the intent
+  4  the configuration changed since the plan, or the intent id was used before
+  5  no leader answered; an intent that was sent may have been accepted, so send it
+     again with the same --intent-id
+  6  not confirmed
+  7  explain: no such decision is kept)";
+
+std::string check_control(const std::string& text)
+{
+    return curranthoist::base::endpoint::parse(text)
+               ? std::string()
+               : "'" + text + "' is not an IPv4 address and port";
+}
+
+void add_intent_options(CLI::App& command, options& chosen)
+{
+    command.add_option("intent", chosen.words, "The intent");
+    command.add_option("--file", chosen.file, "JSON file with one intent or a list");
+}
+
+void add_options(CLI::App& app, options& chosen)
+{
+    app.add_option("--control", chosen.controls,
+                   "address:port of a control process; repeat it for each of them")
+        ->required()
+        ->check(check_control);
+    app.add_option("--operator", chosen.operator_name, "Who decides; needed by apply");
+    app.add_option("--intent-id", chosen.intent_id,
+                   "Id of the intent; the same id repeats the same intent");
+    app.add_flag("--json", chosen.json, "Print JSON");
+    app.add_flag("--yes", chosen.yes, "Confirm plans without asking");
+}
+
+exit_code run(const std::string& name, const options& chosen)
+{
+    commands all(chosen);
+    if (name == "plan") {
+        return all.plan();
+    }
+    if (name == "apply") {
+        return all.apply();
+    }
+    if (name == "status") {
+        return all.status();
+    }
+    if (name == "configuration") {
+        return all.configuration();
+    }
+    return name == "decisions" ? all.decisions() : all.explain();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("Operates a curranthoist deployment.", "curranthoist-ctl");
+    options chosen;
+    add_options(app, chosen);
+    app.footer(footer);
+    app.require_subcommand(1);
+    app.fallthrough();
+    add_intent_options(*app.add_subcommand("plan", "Show what an intent would do"),
+                       chosen);
+    auto* apply = app.add_subcommand("apply", "Plan, show and confirm intents");
+    add_intent_options(*apply, chosen);
+    app.add_subcommand("status", "Members, VMs and who lags");
+    app.add_subcommand("configuration", "The configuration in force");
+    app.add_subcommand("decisions", "The kept decisions");
+    app.add_subcommand("explain", "Show one decision")
+        ->add_option("subject", chosen.subject, "A revision or an intent id")
+        ->required();
+    try {
+        app.parse(argc, argv);
+        if (apply->parsed() && chosen.operator_name.empty()) {
+            throw CLI::RequiredError("--operator");
+        }
+    }
+    catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? 0 : static_cast<int>(exit_code::usage);
+    }
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    exit_code result = exit_code::usage;
+    try {
+        result = run(app.get_subcommands().front()->get_name(), chosen);
+    }
+    catch (const curranthoist::base::findings_error& error) {
+        std::cerr << error.what();
+    }
+    catch (const std::exception& error) {
+        std::cerr << "error: " << error.what() << "\n";
+        result = exit_code::unavailable;
+    }
+    curl_global_cleanup();
+    return static_cast<int>(result);
+}
--- /dev/null
+++ b/curranthoist/ctl/options.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace curranthoist::ctl {
+
+// What the command line says.
+struct options
+{
+    // "address:port" of control processes' operators' HTTP.
+    std::vector<std::string> controls;
+    std::string operator_name;
+    // Empty: generate one for each intent.
+    std::string intent_id;
+    bool json = false;
+    bool yes = false;
+    // An intent as JSON, or as a kind and key=value words.
+    std::vector<std::string> words;
+    // A file with one intent or a list of them.
+    std::string file;
+    // For `explain`.
+    std::string subject;
+};
+
+} // namespace curranthoist::ctl
