--- a/curranthoist/control/controller.cpp
+++ b/curranthoist/control/controller.cpp
@@ -202,6 +202,8 @@
     leader_ = true;
     ready_ = false;
     open_round_.reset();
+    // Decisions of an earlier leadership rest on heartbeats that are too old now.
+    output_.proposals.clear();
     leases_.reset(now.monotonic, state_.current().number);
     assignments_.clear();
     roster_.clear();
@@ -223,6 +225,7 @@
     leader_ = false;
     ready_ = false;
     open_round_.reset();
+    output_.proposals.clear();
 }
 
 void controller::on_read_confirmed(std::uint64_t round, bool confirmed, event_time now)
