--- a/curranthoist/testing/load_main.cpp
+++ b/curranthoist/testing/load_main.cpp
@@ -6,6 +6,7 @@
 #include <CLI/CLI.hpp>
 #include <ev++.h>
 
+#include <csignal>
 #include <cstdint>
 #include <exception>
 #include <iostream>
@@ -13,8 +14,6 @@
 #include <string>
 #include <vector>
 
-#include <signal.h>
-
 namespace {
 
 using curranthoist::base::duration;
--- /dev/null
+++ b/curranthoist/testing/process_fixture.cpp
@@ -0,0 +1,117 @@
+#include "curranthoist/testing/process_fixture.hpp"
+
+#include "curranthoist/http/target_client.hpp"
+
+#include <ev++.h>
+
+#include <cerrno>
+#include <filesystem>
+#include <optional>
+#include <system_error>
+
+#include <unistd.h>
+
+namespace curranthoist::testing {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr unsigned status_ok = 200;
+
+std::string make_folder()
+{
+    std::string path =
+        (std::filesystem::temp_directory_path() / "curranthoist-test-XXXXXX").string();
+    if (::mkdtemp(path.data()) == nullptr) {
+        throw std::system_error(errno, std::generic_category(), "cannot create " + path);
+    }
+    return path;
+}
+
+} // namespace
+
+process_fixture::process_fixture()
+    : folder_(make_folder())
+{}
+
+process_fixture::~process_fixture()
+{
+    children_.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+std::string process_fixture::new_address()
+{
+    // 127.a.b.c with the process id in a and b. 127.0 and 127.255 are left to others.
+    constexpr unsigned byte = 256;
+    constexpr unsigned usable = 254;
+    const auto id = static_cast<unsigned>(::getpid());
+    ++last_address_;
+    return "127." + std::to_string(1 + id / byte % usable) + "." +
+           std::to_string(id % byte) + "." + std::to_string(last_address_);
+}
+
+child_process& process_fixture::start(std::string_view program,
+                                      const std::vector<std::string>& arguments)
+{
+    const std::string number = std::to_string(children_.size());
+    children_.push_back(std::make_unique<child_process>(
+        std::string(CURRANTHOIST_PROGRAM_FOLDER "/").append(program), arguments,
+        folder_ + "/output-" + number + ".txt"));
+    return *children_.back();
+}
+
+http::target_result process_fixture::send(const base::endpoint& remote,
+                                          http::target_call call)
+{
+    ev::dynamic_loop loop;
+    http::target_client client(loop, remote, 1);
+    std::optional<http::target_result> answer;
+    client.start(std::move(call), [&](http::target_result result) {
+        answer = std::move(result);
+        loop.break_loop(ev::ALL);
+    });
+    loop.run(0);
+    return answer.value();
+}
+
+json process_fixture::get_json(const base::endpoint& remote, const std::string& path)
+{
+    http::target_call call;
+    call.method = "GET";
+    call.path = path;
+    const http::target_result result = send(remote, std::move(call));
+    if (result.outcome != http::call_outcome::ok || result.status != status_ok) {
+        return nullptr;
+    }
+    const json body = json::parse(result.body, nullptr, false);
+    return body.is_discarded() ? json(nullptr) : body;
+}
+
+http::target_result process_fixture::post_json(const base::endpoint& remote,
+                                               const std::string& path, const json& body)
+{
+    http::target_call call;
+    call.path = path;
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = body.dump();
+    return send(remote, std::move(call));
+}
+
+bool process_fixture::wait_until_ready(const base::endpoint& remote,
+                                       const std::string& path, base::duration limit)
+{
+    return wait_until(
+        [&] {
+            http::target_call call;
+            call.method = "GET";
+            call.path = path;
+            const http::target_result result = send(remote, std::move(call));
+            return result.outcome == http::call_outcome::ok && result.status == status_ok;
+        },
+        limit);
+}
+
+} // namespace curranthoist::testing
--- a/curranthoist/testing/target_main.cpp
+++ b/curranthoist/testing/target_main.cpp
@@ -7,12 +7,11 @@
 #include <ev++.h>
 
 #include <charconv>
+#include <csignal>
 #include <exception>
 #include <string>
 #include <vector>
 
-#include <signal.h>
-
 namespace {
 
 using curranthoist::base::endpoint;
