--- a/curranthoist/admission/target_admission.hpp
+++ b/curranthoist/admission/target_admission.hpp
@@ -72,6 +72,9 @@
     static constexpr int failures_when_away = 3;
     // A lease that ends sooner leaves no time for a request.
     static constexpr base::duration least_lease{5};
+    // A request must have the warm service time left when it starts, but no more than
+    // this is demanded: a wrong estimate must not keep all requests from correcting it.
+    static constexpr base::duration most_run_time_demanded{20};
 
     explicit target_admission(const target_admission_options& options, Limits limits = {},
                               Return return_rule = {});
@@ -162,6 +165,7 @@
     [[nodiscard]] base::instant expected_start(base::instant now) const;
     [[nodiscard]] base::duration start_interval() const;
     [[nodiscard]] base::duration overdue_after() const;
+    [[nodiscard]] base::duration least_run_time() const;
     [[nodiscard]] std::uint64_t capacity_milli_per_s() const;
 
     Limits limit_policy_;
--- a/curranthoist/admission/target_admission_estimates.hpp
+++ b/curranthoist/admission/target_admission_estimates.hpp
@@ -126,6 +126,12 @@
     return usual ? std::max(*usual * factor, overdue_floor) : overdue_without_history;
 }
 
+template <limit_policy Limits, return_policy Return>
+base::duration target_admission<Limits, Return>::least_run_time() const
+{
+    return std::min(detector_.warm_service_time(), most_run_time_demanded);
+}
+
 template <limit_policy Limits, return_policy Return>
 std::uint64_t target_admission<Limits, Return>::capacity_milli_per_s() const
 {
@@ -152,7 +158,7 @@
         consider(*kept_slots_.begin());
     }
     if (!queue_.empty()) {
-        consider(queue_.begin()->first.first);
+        consider(queue_.begin()->first.first - least_run_time());
         consider(return_.next_start());
         consider(ledger_.next_expiry());
         consider(lease_end_);
--- a/curranthoist/admission/target_admission_impl.hpp
+++ b/curranthoist/admission/target_admission_impl.hpp
@@ -185,7 +185,10 @@
     for (const std::uint64_t call : expired) {
         const running_call running = running_.at(call);
         cancel_running(now, call, !running.unwanted, out);
-        on_no_response(now, running);
+        // Too little time was left for an ordinary response: no sign of overload.
+        if (detector_.slow(now - running.started)) {
+            on_no_response(now, running);
+        }
     }
     for (const std::uint64_t call : unwanted) {
         cancel_running(now, call, false, out);
@@ -235,9 +238,9 @@
     while (!queue_.empty() && may_start(now)) {
         const admission_request request = queue_.begin()->second;
         queue_.erase(queue_.begin());
-        if (request.deadline <= now) {
+        if (request.deadline <= now + least_run_time()) {
             out.push_back(reject_call{request.call, reject_reason::shed,
-                                      "the deadline passed while the request waited"});
+                                      "too little time is left before the deadline"});
         }
         else if (lease_too_short(now, request)) {
             out.push_back(reject_call{request.call, reject_reason::no_lease,
@@ -270,7 +273,7 @@
 template <limit_policy Limits, return_policy Return>
 void target_admission<Limits, Return>::reject_hopeless(base::instant now, actions& out)
 {
-    base::instant start_at = expected_start(now);
+    base::instant start_at = expected_start(now) + least_run_time();
     std::size_t kept = 0;
     for (auto entry = queue_.begin(); entry != queue_.end();) {
         const bool lease_ended = lease_end_ <= now;
--- /dev/null
+++ b/curranthoist/routing/replica_choice_test.cpp
@@ -0,0 +1,116 @@
+#include "curranthoist/routing/configured_choice.hpp"
+#include "curranthoist/routing/hedge_budget.hpp"
+#include "curranthoist/routing/hedging.hpp"
+#include "curranthoist/routing/latency_tracker.hpp"
+
+#include <gtest/gtest.h>
+
+#include <array>
+
+namespace curranthoist::routing {
+namespace {
+
+using namespace base::literals;
+
+class replica_choice_test : public testing::Test
+{
+protected:
+    replica_choice_test()
+    {
+        for (std::size_t i = 0; i < replicas.size(); ++i) {
+            candidates[i] = {&replicas[i], {0, 0, 10_ms, now}};
+        }
+    }
+
+    template <class Policy>
+    std::array<int, 2> counts(Policy policy)
+    {
+        std::array<int, 2> chosen{};
+        for (int i = 0; i < 1000; ++i) {
+            ++chosen[policy.choose(candidates, now, random)];
+        }
+        return chosen;
+    }
+
+    const base::instant now{100'000};
+    base::random_source random{1};
+    std::array<replica, 2> replicas;
+    std::array<candidate, 2> candidates;
+};
+
+TEST_F(replica_choice_test, a_straggling_replica_is_avoided)
+{
+    candidates[0].load.service_time = 100_ms;
+    EXPECT_EQ(counts(power_of_two())[0], 0);
+}
+
+TEST_F(replica_choice_test, own_parts_count_while_reports_lag)
+{
+    candidates[0].load.outstanding = 3;
+    candidates[1].load.reported = 1;
+    EXPECT_EQ(counts(power_of_two())[0], 0);
+}
+
+TEST_F(replica_choice_test, a_replica_without_work_is_tried_so_that_it_can_come_back)
+{
+    replicas[0].cold = true;
+    candidates[0].load.service_time = 500_ms;
+    EXPECT_EQ(counts(power_of_two())[0], 0);
+    candidates[0].load.last_sent = now - 2_s;
+    EXPECT_EQ(counts(power_of_two())[0], 1000);
+    candidates[0].load.outstanding = 1;
+    EXPECT_EQ(counts(power_of_two())[0], 0) << "one at a time";
+}
+
+TEST_F(replica_choice_test, the_baselines_ignore_load)
+{
+    candidates[0].load.service_time = 100_ms;
+    EXPECT_EQ(counts(*configured_choice::named("round_robin"))[0], 500);
+    EXPECT_NEAR(counts(*configured_choice::named("random"))[0], 500, 100);
+    EXPECT_EQ(counts(*configured_choice::named("power_of_two"))[0], 0);
+    EXPECT_FALSE(configured_choice::named("best"));
+}
+
+TEST(hedge_budget_test, extra_sends_stay_under_5_percent_and_bursts_are_bounded)
+{
+    hedge_budget budget;
+    EXPECT_FALSE(budget.take()) << "the cap holds from the first send";
+    budget.on_first_attempts(19);
+    EXPECT_FALSE(budget.take());
+    budget.on_first_attempts(1);
+    EXPECT_TRUE(budget.take());
+    EXPECT_FALSE(budget.take());
+    budget.on_first_attempts(100'000);
+    int taken = 0;
+    while (budget.take()) {
+        ++taken;
+    }
+    EXPECT_EQ(taken, 20);
+}
+
+TEST(latency_tracker_test, a_few_samples_do_not_start_early_hedges)
+{
+    latency_tracker tracker;
+    for (int i = 0; i < 10; ++i) {
+        tracker.add(1_ms);
+    }
+    EXPECT_EQ(tracker.p95(), 100_ms);
+    for (int i = 0; i < 118; ++i) {
+        tracker.add(i % 10 == 0 ? 50_ms : 5_ms);
+    }
+    EXPECT_EQ(tracker.p95(), 50_ms);
+}
+
+TEST(hedging_test, a_loaded_replica_gets_no_hedge)
+{
+    const auto hedge = configured_hedging::named("p95");
+    ASSERT_TRUE(hedge);
+    EXPECT_TRUE(hedge->accepts({1, 0, {}, {}}));
+    EXPECT_FALSE(hedge->accepts({1, 1, {}, {}}));
+    EXPECT_EQ(hedge->delay(30_ms), 30_ms);
+    EXPECT_FALSE(configured_hedging::named("none")->delay(30_ms));
+    EXPECT_FALSE(configured_hedging::named("p90"));
+}
+
+} // namespace
+} // namespace curranthoist::routing
--- a/curranthoist/routing/scatter_parts.hpp
+++ b/curranthoist/routing/scatter_parts.hpp
@@ -26,7 +26,8 @@
             return;
         }
     }
-    out.push_back(send_parts{where.owner, version_, answer_time(), {sent}});
+    out.emplace_back(std::in_place_type<send_parts>, where.owner, version_, answer_time(),
+                     std::vector<part_attempt>{sent});
 }
 
 template <replica_choice Choice, hedging Hedging, reply_check Check>
@@ -58,7 +59,8 @@
     for (const open_attempt& attempt : shard.open) {
         may_have_run_ = true;
         context_.loads.on_done(attempt.sent.where.target);
-        out.push_back(cancel_part{attempt.sent.where.owner, attempt.sent.part});
+        out.emplace_back(std::in_place_type<cancel_part>, attempt.sent.where.owner,
+                         attempt.sent.part);
     }
     shard.open.clear();
 }
@@ -94,7 +96,7 @@
         return;
     }
     finished_ = true;
-    out.emplace_back(std::move(response));
+    out.emplace_back(std::in_place_type<respond>, std::move(response));
 }
 
 template <replica_choice Choice, hedging Hedging, reply_check Check>
@@ -106,7 +108,7 @@
     refusal.snapshot = version_;
     refusal.total = static_cast<std::uint32_t>(shards_.size());
     finished_ = true;
-    out.emplace_back(std::move(refusal));
+    out.emplace_back(std::in_place_type<respond>, std::move(refusal));
 }
 
 template <replica_choice Choice, hedging Hedging, reply_check Check>
