--- /dev/null
+++ b/curranthoist/entry/filters/filter_chain.cpp
@@ -0,0 +1,191 @@
+#include "curranthoist/entry/filters/filter_chain.hpp"
+
+#include "curranthoist/control/configuration.hpp"
+#include "curranthoist/http/caller_request.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string_view>
+
+namespace curranthoist::entry {
+
+namespace {
+
+constexpr unsigned bad_request = 400;
+constexpr unsigned not_found = 404;
+constexpr unsigned method_not_allowed = 405;
+constexpr unsigned too_large = 413;
+constexpr unsigned too_many_requests = 429;
+constexpr unsigned unavailable = 503;
+constexpr std::size_t max_request_id_bytes = 128;
+
+constexpr std::string_view query_prefix = "/v1/query/";
+constexpr std::string_view order_prefix = "/v1/order/";
+
+filter_result refuse(unsigned status, std::string error)
+{
+    return refusal{status, std::move(error), request_outcome::not_run};
+}
+
+bool is_plain(char letter)
+{
+    constexpr char first_printable = '!';
+    constexpr char last_printable = '~';
+    return letter >= first_printable && letter <= last_printable;
+}
+
+bool is_digit(char letter)
+{
+    return letter >= '0' && letter <= '9';
+}
+
+// True for <unix ms>-<unique part>.
+bool is_order_id(std::string_view id)
+{
+    const std::size_t dash = id.find('-');
+    return dash != std::string_view::npos && dash > 0 && dash + 1 < id.size() &&
+           std::all_of(id.begin(), id.begin() + static_cast<std::ptrdiff_t>(dash),
+                       is_digit);
+}
+
+std::optional<base::duration> parse_milliseconds(std::string_view text)
+{
+    std::int64_t value = 0;
+    const char* const end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, value);
+    if (error != std::errc() || rest != end || value <= 0) {
+        return std::nullopt;
+    }
+    return base::duration(value);
+}
+
+} // namespace
+
+filter_result check_method_and_path(const http::caller_request& request,
+                                    const process_state& /*state*/,
+                                    admitted_request& result)
+{
+    const std::string_view path = request.path;
+    std::string_view service;
+    if (path.starts_with(query_prefix)) {
+        result.kind = control::service_kind::query;
+        service = path.substr(query_prefix.size());
+    }
+    else if (path.starts_with(order_prefix)) {
+        result.kind = control::service_kind::order;
+        service = path.substr(order_prefix.size());
+    }
+    if (service.empty()) {
+        return refuse(not_found, "unknown path");
+    }
+    if (request.method != "POST") {
+        return refuse(method_not_allowed, "method must be POST");
+    }
+    result.service = base::service_id(service);
+    return std::nullopt;
+}
+
+filter_result check_stopping(const http::caller_request& /*request*/,
+                             const process_state& state, admitted_request& /*result*/)
+{
+    return state.refusing ? refuse(unavailable, "VM is stopping") : std::nullopt;
+}
+
+filter_result check_lease_and_zone(const http::caller_request& /*request*/,
+                                   const process_state& state,
+                                   admitted_request& /*result*/)
+{
+    if (!state.lease_valid) {
+        return refuse(unavailable, "VM holds no lease");
+    }
+    if (!state.in_service) {
+        return refuse(unavailable, "VM or its availability zone is out of service");
+    }
+    return std::nullopt;
+}
+
+filter_result check_limits(const http::caller_request& request,
+                           const process_state& state, admitted_request& /*result*/)
+{
+    if (state.running >= state.limits.max_concurrent_requests) {
+        return refuse(too_many_requests, "too many concurrent requests");
+    }
+    if (request.body.size() > state.limits.max_body_bytes) {
+        return refuse(too_large, "body exceeds the process's limit");
+    }
+    return std::nullopt;
+}
+
+filter_result read_request_id(const http::caller_request& request,
+                              const process_state& state, admitted_request& result)
+{
+    const std::optional<std::string> given = request.header("Request-Id");
+    const bool order = result.kind == control::service_kind::order;
+    if (!given && order) {
+        return refuse(bad_request, "Request-Id is required for an order");
+    }
+    const std::string id = given.value_or(state.new_request_id);
+    if (id.empty() || id.size() > max_request_id_bytes ||
+        !std::all_of(id.begin(), id.end(), is_plain)) {
+        return refuse(bad_request, "Request-Id must be 1 to 128 printable characters");
+    }
+    if (order && !is_order_id(id)) {
+        return refuse(bad_request,
+                      "Request-Id must have the form <unix ms>-<unique part>");
+    }
+    result.id = base::request_id(id);
+    return std::nullopt;
+}
+
+filter_result find_service(const http::caller_request& request,
+                           const process_state& state, admitted_request& result)
+{
+    const auto found = state.configuration->services.find(result.service);
+    if (found == state.configuration->services.end()) {
+        return refuse(not_found, "unknown service");
+    }
+    if (found->second.kind != result.kind) {
+        return refuse(not_found, result.kind == control::service_kind::order
+                                     ? "service takes queries, not orders"
+                                     : "service takes orders, not queries");
+    }
+    if (request.body.size() > found->second.max_body_bytes) {
+        return refuse(too_large, "body exceeds the service's limit");
+    }
+    result.spec = found->second;
+    return std::nullopt;
+}
+
+filter_result read_deadline(const http::caller_request& request,
+                            const process_state& state, admitted_request& result)
+{
+    base::duration time_left = result.spec.default_deadline;
+    if (const std::optional<std::string> given = request.header("Deadline-Ms")) {
+        const std::optional<base::duration> parsed = parse_milliseconds(*given);
+        if (!parsed) {
+            return refuse(bad_request, "Deadline-Ms must be a positive whole number");
+        }
+        time_left = *parsed;
+    }
+    time_left =
+        std::min({time_left, result.spec.max_deadline, state.limits.max_deadline});
+    result.deadline = state.now + time_left;
+    return std::nullopt;
+}
+
+filter_result run_filters(const http::caller_request& request, const process_state& state,
+                          admitted_request& result)
+{
+    constexpr std::array chain{
+        check_method_and_path, check_stopping, check_lease_and_zone, check_limits,
+        read_request_id,       find_service,   read_deadline};
+    for (const auto& filter : chain) {
+        if (filter_result refused = filter(request, state, result)) {
+            return refused;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace curranthoist::entry
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -183,13 +183,21 @@
     opened->watcher.set<target_client, &target_client::on_socket_event>(&client);
     client.sockets_[descriptor] = std::move(opened);
     client.peak_sockets_ = std::max(client.peak_sockets_, client.sockets_.size());
+    if (client.on_socket_) {
+        client.on_socket_(current.number, true);
+    }
     return descriptor;
 }
 
 int target_client::close_socket_callback(void* self, curl_socket_t descriptor)
 {
-    static_cast<target_client*>(self)->sockets_.erase(descriptor);
-    return ::close(descriptor);
+    auto& client = *static_cast<target_client*>(self);
+    client.sockets_.erase(descriptor);
+    const int result = ::close(descriptor);
+    if (client.on_socket_) {
+        client.on_socket_(0, false);
+    }
+    return result;
 }
 
 int target_client::request_callback(void* call, char* /*remote_address*/,
--- a/curranthoist/http/target_client.hpp
+++ b/curranthoist/http/target_client.hpp
@@ -39,6 +39,10 @@
     // may start and cancel calls but must not destroy the client.
     using result_handler = std::function<void(target_result)>;
 
+    // Told when a socket was opened for a call (its number) and when one was closed
+    // (number 0). It is called inside libcurl: it must not start or cancel a call.
+    using socket_handler = std::function<void(call_number call, bool opened)>;
+
     // Has at most `max_connections` sockets open at any time. Calls beyond that number
     // wait, in order, within their time limits.
     target_client(ev::loop_ref loop, base::endpoint remote, std::size_t max_connections);
@@ -52,6 +56,8 @@
     // the call has ended.
     void cancel(call_number number);
 
+    void set_socket_handler(socket_handler handler) { on_socket_ = std::move(handler); }
+
     // Changes the limit for connections that are opened from now on. Idle connections
     // above the limit are closed as calls end.
     void set_max_connections(std::size_t max_connections);
@@ -96,6 +102,7 @@
     base::monotonic_clock clock_;
     std::size_t max_connections_;
     CURLM* multi_;
+    socket_handler on_socket_;
     ev::timer curl_timer_;
     ev::timer delivery_timer_;
     std::uint64_t last_connection_ = 0;
