--- a/curranthoist/control/controller_schedule_test.cpp
+++ b/curranthoist/control/controller_schedule_test.cpp
@@ -21,7 +21,8 @@
     return count;
 }
 
-// Guards against two VMs that send to one target at once, over failovers, cut and late
+// Guards against two VMs that send to one target at once, and against work for a target
+// that is out of service for longer than the bound, over failovers, cut and late
 // connections, and VMs that restart while their old process is frozen.
 TEST(controller_schedule_test, a_target_never_has_two_holders)
 {
--- a/curranthoist/control/controller_schedule_test.hpp
+++ b/curranthoist/control/controller_schedule_test.hpp
@@ -45,6 +45,9 @@
     void run(base::duration time, bool faults)
     {
         faults_ = faults;
+        while (!faults && !out_since_.empty()) {
+            toggle(out_since_.begin()->first);
+        }
         const base::instant end = now_ + time;
         while (now_ < end) {
             now_ = now_ + base::duration(10);
@@ -58,6 +61,7 @@
             }
             tick();
             check();
+            check_out_targets();
         }
     }
     // What was seen, empty if no target ever had two holders.
@@ -108,7 +112,9 @@
         encoded::operator_intent_message command;
         command.intent_id = "i" + std::to_string(log_.size());
         command.operator_name = "test";
-        command.base_revision = log_.size();
+        command.base_revision = members_[present_].applied == 0
+                                    ? log_.size()
+                                    : state().operator_revision().value();
         command.value = std::make_unique<intent>(std::move(wanted));
         log_.push_back(encode_command(now_, std::move(command)));
     }
@@ -292,8 +298,26 @@
             send_up(one, one.vm->heartbeat(now_));
         }
     }
+    // An operator takes the target out of service, or in again.
+    void toggle(const base::target_id& id)
+    {
+        const bool out = out_since_.erase(id) == 0;
+        if (out) {
+            out_since_[id] = now_;
+        }
+        intent wanted;
+        wanted.kind = out ? intent_kind::target_out : intent_kind::target_in;
+        wanted.subject = id.str();
+        apply_log(present_);
+        declare_one(std::move(wanted));
+        apply_log(present_);
+        drain(present_);
+    }
     void inject_faults()
     {
+        if (random_.chance(0.002)) {
+            toggle(target(static_cast<int>(random_.below(targets))));
+        }
         if (random_.chance(0.001)) {
             elect((present_ + 1 + random_.below(members - 1)) % members);
         }
@@ -339,6 +363,23 @@
         }
     }
 
+    // A target that operators took out gets no new work later than 2 s for the revision
+    // and 4 s for the lease, by clocks that run up to 5% slower.
+    void check_out_targets()
+    {
+        for (const auto& [id, since] : out_since_) {
+            for (const process* one : holders(id)) {
+                if (now_ - since > base::duration(6'300) &&
+                    one->vm->starts_work_at(id, now_) && violation_.empty()) {
+                    violation_ = "target " + id.str() + " gets work from " +
+                                 one->vm->vm().str() + " at " +
+                                 std::to_string(now_.count()) + " ms and is out since " +
+                                 std::to_string(since.count()) + " ms";
+                }
+            }
+        }
+    }
+
     base::random_source random_;
     base::instant now_{1'000'000};
     std::multimap<base::instant, std::function<void()>> events_;
@@ -351,6 +392,7 @@
     std::vector<process> processes_;
     std::uint64_t last_run_ = 0;
     session_number last_session_ = 0;
+    std::map<base::target_id, base::instant> out_since_;
     std::string violation_;
 };
 
--- a/curranthoist/control/simulated_vm_test.hpp
+++ b/curranthoist/control/simulated_vm_test.hpp
@@ -76,6 +76,12 @@
                held->second.owner == vm_ &&
                held->second.phase == assignment_phase::owned;
     }
+    // Whether it starts new requests at the target at `now`.
+    [[nodiscard]] bool starts_work_at(const base::target_id& target,
+                                      base::instant now) const
+    {
+        return holds(target, now) && known_.targets.at(target).in_service;
+    }
     [[nodiscard]] const base::vm_id& vm() const { return vm_; }
     [[nodiscard]] base::incarnation run() const { return run_; }
     [[nodiscard]] const configuration& known() const { return known_; }
