--- a/curranthoist/consensus/membership_change.hpp
+++ b/curranthoist/consensus/membership_change.hpp
@@ -13,8 +13,8 @@
     {
         // Adds `id` at `address` as a learner.
         add_learner,
-        // Makes the learner `id` a voter. If `replaced` is not empty, that voter leaves in
-        // the same change.
+        // Makes the learner `id` a voter. If `replaced` is not empty, that voter leaves
+        // in the same change.
         promote,
         // Removes the voter or learner `id`.
         remove,
--- a/curranthoist/control/apply_result.hpp
+++ b/curranthoist/control/apply_result.hpp
@@ -91,9 +91,8 @@
 {};
 
 // What one committed command did.
-using apply_result =
-    std::variant<malformed_result, intent_result, claim_result, record_result,
-                 assignments_result, incarnation_result, vm_removed_result,
-                 member_replaced_result>;
+using apply_result = std::variant<malformed_result, intent_result, claim_result,
+                                  record_result, assignments_result, incarnation_result,
+                                  vm_removed_result, member_replaced_result>;
 
 } // namespace curranthoist::control
--- a/curranthoist/control/assignment_controller.cpp
+++ b/curranthoist/control/assignment_controller.cpp
@@ -12,7 +12,10 @@
 
 using encoded::assignment_step;
 
-void assignment_controller::clear() { *this = assignment_controller(); }
+void assignment_controller::clear()
+{
+    *this = assignment_controller();
+}
 
 void assignment_controller::on_released(const base::target_id& target,
                                         const release_report& report)
@@ -115,8 +118,9 @@
         release(now, target, "the target or its zone is out of service");
     }
     else if (owner == now.vms.end() || !owner->second.may_keep) {
-        release(now, target, "VM " + held->second.owner.str() +
-                                 " is lost, stopping or out of service");
+        release(now, target,
+                "VM " + held->second.owner.str() +
+                    " is lost, stopping or out of service");
     }
 }
 
--- a/curranthoist/control/assignment_controller.hpp
+++ b/curranthoist/control/assignment_controller.hpp
@@ -23,8 +23,8 @@
 // Rules, in order: a target that can't be served (out of service itself or by its zone)
 // is released and not assigned again; an owner that may own nothing gives its targets up;
 // targets of one shard go to different VMs where the roster knows their shards; loads
-// differ by balance_tolerance at most; the target's own zone is preferred. Everything else
-// stays where it is.
+// differ by balance_tolerance at most; the target's own zone is preferred. Everything
+// else stays where it is.
 class assignment_controller
 {
 public:
@@ -90,17 +90,17 @@
     void step_releasing(const inputs& now, const base::target_id& target);
     void release(const inputs& now, const base::target_id& target,
                  const std::string& reason);
-    void own(const inputs& now, const base::target_id& target,
-             const std::string& reason);
+    void own(const inputs& now, const base::target_id& target, const std::string& reason);
     void remove(const inputs& now, const base::target_id& target);
     void move_for_shards(const inputs& now);
     void move_for_balance(const inputs& now);
     void note_usable_vms(const inputs& now);
     void drop_old_reports(const inputs& now);
     [[nodiscard]] bool may_move(const inputs& now) const;
-    [[nodiscard]] bool is_servable(const inputs& now, const base::target_id& target) const;
-    [[nodiscard]] std::optional<base::vm_id>
-    best_vm(const inputs& now, const base::target_id& target) const;
+    [[nodiscard]] bool is_servable(const inputs& now,
+                                   const base::target_id& target) const;
+    [[nodiscard]] std::optional<base::vm_id> best_vm(const inputs& now,
+                                                     const base::target_id& target) const;
     [[nodiscard]] int siblings(const inputs& now, const base::target_id& target,
                                const base::vm_id& vm) const;
     [[nodiscard]] std::optional<shard_key> shard_of(const inputs& now,
--- a/curranthoist/control/assignment_controller_test.cpp
+++ b/curranthoist/control/assignment_controller_test.cpp
@@ -1,5 +1,4 @@
 #include "curranthoist/control/assignment_controller.hpp"
-
 #include "curranthoist/control/configuration.hpp"
 #include "curranthoist/control/roster.hpp"
 #include "curranthoist/wire/frame_codec.hpp"
@@ -48,8 +47,8 @@
         current_.vms[vm(i)] = vm_spec{zone(i % 4), {}, true};
         views_[vm(i)] = {true, true, true};
     }
-    // Applies what the controller wants, as the state would, until it wants nothing. Owners
-    // release at once. Returns the number of targets that got an owner.
+    // Applies what the controller wants, as the state would, until it wants nothing.
+    // Owners release at once. Returns the number of targets that got an owner.
     int settle()
     {
         int owned = 0;
@@ -122,9 +121,10 @@
     int spread() const
     {
         const auto all = loads();
-        const auto [low, high] = std::minmax_element(
-            all.begin(), all.end(),
-            [](const auto& a, const auto& b) { return a.second < b.second; });
+        const auto [low, high] =
+            std::minmax_element(all.begin(), all.end(), [](const auto& a, const auto& b) {
+                return a.second < b.second;
+            });
         return high->second - low->second;
     }
     // Shards whose two targets have one owner.
@@ -159,8 +159,7 @@
     EXPECT_LE(spread(), 2);
     int same = 0;
     for (const auto& [id, held] : current_.assignments) {
-        same +=
-            current_.targets.at(id).zone == current_.vms.at(held.owner).zone ? 1 : 0;
+        same += current_.targets.at(id).zone == current_.vms.at(held.owner).zone ? 1 : 0;
     }
     EXPECT_GE(same, 80);
 }
--- a/curranthoist/control/cluster_state.cpp
+++ b/curranthoist/control/cluster_state.cpp
@@ -17,8 +17,8 @@
     if (!decoded) {
         return malformed_result{};
     }
-    time_ = std::max(time_,
-                     base::instant(static_cast<std::int64_t>(decoded->wall_time_ms)));
+    time_ =
+        std::max(time_, base::instant(static_cast<std::int64_t>(decoded->wall_time_ms)));
     drop_old();
     return apply_body(*decoded);
 }
@@ -109,9 +109,12 @@
 
 claim_result cluster_state::apply_claim(const encoded::claim_message& command)
 {
-    claim_result result{base::request_id(command.request_id), base::vm_id(command.vm),
-                        base::incarnation(command.incarnation), command.attempt,
-                        claim_answer::refused, {}};
+    claim_result result{base::request_id(command.request_id),
+                        base::vm_id(command.vm),
+                        base::incarnation(command.incarnation),
+                        command.attempt,
+                        claim_answer::refused,
+                        {}};
     const bool open = open_incarnation(result.vm) == result.run;
     if (!open) {
         return result;
@@ -156,8 +159,9 @@
     }
     if (!result.changes.empty()) {
         configuration_.number = configuration_.number.next();
-        add_decision(leader_decisions_, max_leader_decisions,
-                     decision{"leader", time_, {}, configuration_.number, result.changes});
+        add_decision(
+            leader_decisions_, max_leader_decisions,
+            decision{"leader", time_, {}, configuration_.number, result.changes});
     }
     return result;
 }
@@ -173,8 +177,8 @@
         return false;
     }
     if (change.step == encoded::assignment_step::release) {
-        const bool owned = fence != base::fence() &&
-                           held->second.phase == assignment_phase::owned;
+        const bool owned =
+            fence != base::fence() && held->second.phase == assignment_phase::owned;
         if (owned) {
             held->second.phase = assignment_phase::releasing;
         }
@@ -197,9 +201,8 @@
 // of the log, because the former owner may have come back since the leader decided.
 bool cluster_state::may_own(const encoded::assignment_change_message& change) const
 {
-    const bool owner_known =
-        change.step != encoded::assignment_step::own ||
-        configuration_.vms.contains(base::vm_id(change.owner));
+    const bool owner_known = change.step != encoded::assignment_step::own ||
+                             configuration_.vms.contains(base::vm_id(change.owner));
     const auto held = configuration_.assignments.find(base::target_id(change.target));
     if (held == configuration_.assignments.end()) {
         return owner_known;
@@ -250,7 +253,8 @@
                        [&](const auto& entry) { return entry.second.owner == vm; });
 }
 
-vm_removed_result cluster_state::apply_remove_vm(const encoded::remove_vm_message& command)
+vm_removed_result
+cluster_state::apply_remove_vm(const encoded::remove_vm_message& command)
 {
     vm_removed_result result{base::vm_id(command.vm), false};
     const auto found = configuration_.vms.find(result.vm);
--- a/curranthoist/control/cluster_state_snapshot.cpp
+++ b/curranthoist/control/cluster_state_snapshot.cpp
@@ -15,7 +15,10 @@
     return base::instant(static_cast<std::int64_t>(milliseconds));
 }
 
-std::uint64_t count_of(base::instant at) { return static_cast<std::uint64_t>(at.count()); }
+std::uint64_t count_of(base::instant at)
+{
+    return static_cast<std::uint64_t>(at.count());
+}
 
 std::unique_ptr<encoded::kept_decision_message> pack(const decision& value)
 {
@@ -30,8 +33,9 @@
 
 decision unpack(const encoded::kept_decision_message& kept)
 {
-    return decision{kept.author, instant_of(kept.time_ms), base::intent_id(kept.intent_id),
-                    base::revision(kept.revision), kept.changes};
+    return decision{kept.author, instant_of(kept.time_ms),
+                    base::intent_id(kept.intent_id), base::revision(kept.revision),
+                    kept.changes};
 }
 
 std::unique_ptr<encoded::kept_claim_message> pack(const base::request_id& id,
@@ -50,9 +54,12 @@
 
 claim_record unpack(const encoded::kept_claim_message& kept)
 {
-    return claim_record{base::vm_id(kept.vm), base::incarnation(kept.incarnation),
-                        kept.attempt,         kept.status,
-                        kept.body,            kept.body_bytes};
+    return claim_record{base::vm_id(kept.vm),
+                        base::incarnation(kept.incarnation),
+                        kept.attempt,
+                        kept.status,
+                        kept.body,
+                        kept.body_bytes};
 }
 
 std::unique_ptr<encoded::kept_outcome_message> pack(const base::intent_id& id,
@@ -172,8 +179,9 @@
     }
     for (const auto& kept : content->outcomes) {
         const base::intent_id id(kept->intent_id);
-        state.outcomes_[id] = intent_outcome{kept->digest, instant_of(kept->time_ms),
-                                             base::revision(kept->revision), kept->changes};
+        state.outcomes_[id] =
+            intent_outcome{kept->digest, instant_of(kept->time_ms),
+                           base::revision(kept->revision), kept->changes};
         state.outcome_order_.push_back(id);
     }
     for (const auto& kept : content->incarnations) {
--- a/curranthoist/control/cluster_state_test.cpp
+++ b/curranthoist/control/cluster_state_test.cpp
@@ -277,9 +277,9 @@
             record(id, random.below(300), claim_status::freed);
             break;
         case 2:
-            submit(std::to_string(i), zone_intent("z2", random.chance(0.5)
-                                                            ? intent_kind::zone_out
-                                                            : intent_kind::zone_in));
+            submit(std::to_string(i),
+                   zone_intent("z2", random.chance(0.5) ? intent_kind::zone_out
+                                                        : intent_kind::zone_in));
             break;
         case 3:
             open("v1", 5 + random.below(3));
--- a/curranthoist/control/commands.hpp
+++ b/curranthoist/control/commands.hpp
@@ -17,7 +17,8 @@
 
 } // namespace internal
 
-// Encodes one of the `*_message` structs of commands.fbs as a command made at `wall_time`.
+// Encodes one of the `*_message` structs of commands.fbs as a command made at
+// `wall_time`.
 template <class Body>
 std::vector<std::uint8_t> encode_command(base::instant wall_time, Body body)
 {
--- a/curranthoist/control/controller_duties.cpp
+++ b/curranthoist/control/controller_duties.cpp
@@ -69,11 +69,9 @@
 
 void controller::request_round(event_time now)
 {
-    const bool lost =
-        open_round_ && now.monotonic - round_started_ >= round_limit;
+    const bool lost = open_round_ && now.monotonic - round_started_ >= round_limit;
     if (lost) {
-        for (const auto& answer :
-             leases_.finish_round(false, state_, now.monotonic)) {
+        for (const auto& answer : leases_.finish_round(false, state_, now.monotonic)) {
             reply_heartbeat(answer.session, answer.sequence, answer.granted);
         }
         open_round_.reset();
@@ -181,15 +179,14 @@
     for (const auto& [vm, open] : state_.open_processes()) {
         views.try_emplace(vm, view_of(vm, now));
     }
-    const bool waiting =
-        proposed_.contains("assignments") &&
-        now.monotonic - proposed_.at("assignments") < proposal_limit;
+    const bool waiting = proposed_.contains("assignments") &&
+                         now.monotonic - proposed_.at("assignments") < proposal_limit;
     if (waiting) {
         return;
     }
     encoded::change_assignments_message command;
-    command.changes = assignments_.step(
-        {state_.current(), roster_, views, now.monotonic, expected});
+    command.changes =
+        assignments_.step({state_.current(), roster_, views, now.monotonic, expected});
     if (!command.changes.empty() && may_propose("assignments", now)) {
         output_.proposals.push_back(encode_command(now.wall, std::move(command)));
     }
@@ -242,8 +239,8 @@
 {
     // Right after a failover the roster is incomplete, and a full update would take facts
     // away that the VMs still have.
-    const bool complete = std::all_of(
-        sessions_.begin(), sessions_.end(), [this](const auto& entry) {
+    const bool complete =
+        std::all_of(sessions_.begin(), sessions_.end(), [this](const auto& entry) {
             return !is_open(entry.second) || entry.second.full_facts_seen;
         });
     const bool waited =
--- a/curranthoist/control/controller_schedule_test.hpp
+++ b/curranthoist/control/controller_schedule_test.hpp
@@ -99,7 +99,10 @@
         base::instant in_order_down;
     };
 
-    static base::target_id target(int i) { return base::target_id("t" + std::to_string(i)); }
+    static base::target_id target(int i)
+    {
+        return base::target_id("t" + std::to_string(i));
+    }
     event_time time() const { return {now_, now_}; }
     base::duration delay(int most) { return base::duration(random_.between(1, most)); }
     void later(base::instant at, std::function<void()> action)
@@ -203,16 +206,16 @@
             return;
         }
         to->in_order_down = std::max(to->in_order_down, now_ + delay(40));
-        later(to->in_order_down,
-              [this, number, session = message.session, frame = std::move(message.frame)] {
-                  process* receiver = process_of(number, session);
-                  if (receiver != nullptr && receiver->running) {
-                      receiver->vm->receive(frame);
-                      if (!receiver->vm->refused) {
-                          receiver->last_grant = now_;
-                      }
-                  }
-              });
+        later(to->in_order_down, [this, number, session = message.session,
+                                  frame = std::move(message.frame)] {
+            process* receiver = process_of(number, session);
+            if (receiver != nullptr && receiver->running) {
+                receiver->vm->receive(frame);
+                if (!receiver->vm->refused) {
+                    receiver->last_grant = now_;
+                }
+            }
+        });
     }
     process* process_of(std::size_t number, session_number session)
     {
@@ -228,19 +231,18 @@
     {
         process started;
         const double rate = 0.95 + random_.unit() * 0.1;
-        started.vm = std::make_unique<simulated_vm>(
-            base::vm_id("v" + std::to_string(number)), base::incarnation(++last_run_),
-            rate);
+        started.vm =
+            std::make_unique<simulated_vm>(base::vm_id("v" + std::to_string(number)),
+                                           base::incarnation(++last_run_), rate);
         processes_.push_back(std::move(started));
         connect(processes_.back());
     }
     void connect(process& one)
     {
         if (one.session != 0) {
-            later(now_ + delay(3000),
-                  [this, member = one.member, session = one.session] {
-                      members_[member].leader->on_session_closed(session);
-                  });
+            later(now_ + delay(3000), [this, member = one.member, session = one.session] {
+                members_[member].leader->on_session_closed(session);
+            });
         }
         // Often a hint names the leader.
         one.member = !faults_ || random_.chance(0.5) ? present_ : random_.below(members);
@@ -262,21 +264,20 @@
         if (now_ < one.cut_until) {
             return;
         }
-        later(one.in_order_up,
-              [this, member = one.member, session = one.session,
-               frame = wire::encode_frame(std::move(message))] {
-                  const std::span<const std::uint8_t> all(frame);
-                  const wire::envelope* body =
-                      wire::verified_envelope(all.subspan(wire::frame_prefix_bytes));
-                  controller& receiver = *members_[member].leader;
-                  if (const auto* hello = body->body_as_hello()) {
-                      receiver.on_session_opened(session, *hello, time());
-                  }
-                  else {
-                      receiver.on_message(session, *body, time());
-                  }
-                  drain(member);
-              });
+        later(one.in_order_up, [this, member = one.member, session = one.session,
+                                frame = wire::encode_frame(std::move(message))] {
+            const std::span<const std::uint8_t> all(frame);
+            const wire::envelope* body =
+                wire::verified_envelope(all.subspan(wire::frame_prefix_bytes));
+            controller& receiver = *members_[member].leader;
+            if (const auto* hello = body->body_as_hello()) {
+                receiver.on_session_opened(session, *hello, time());
+            }
+            else {
+                receiver.on_message(session, *body, time());
+            }
+            drain(member);
+        });
     }
 
     void tick()
--- a/curranthoist/control/intent_json.cpp
+++ b/curranthoist/control/intent_json.cpp
@@ -51,12 +51,12 @@
     fields.number_for<std::uint64_t>(
         "default_deadline_ms",
         [&wanted](std::uint64_t value) { wanted.default_deadline_ms = value; });
-    fields.number_for<std::uint64_t>(
-        "max_deadline_ms",
-        [&wanted](std::uint64_t value) { wanted.max_deadline_ms = value; });
-    fields.number_for<std::uint64_t>(
-        "max_body_bytes",
-        [&wanted](std::uint64_t value) { wanted.max_body_bytes = value; });
+    fields.number_for<std::uint64_t>("max_deadline_ms", [&wanted](std::uint64_t value) {
+        wanted.max_deadline_ms = value;
+    });
+    fields.number_for<std::uint64_t>("max_body_bytes", [&wanted](std::uint64_t value) {
+        wanted.max_body_bytes = value;
+    });
 }
 
 void read_service_kind(json_fields& fields, intent& wanted)
--- a/curranthoist/control/intent_outcome.hpp
+++ b/curranthoist/control/intent_outcome.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "curranthoist/base/instant.hpp"
 #include "curranthoist/base/identifiers.hpp"
+#include "curranthoist/base/instant.hpp"
 
 #include <string>
 #include <vector>
--- a/curranthoist/control/intent_rules.cpp
+++ b/curranthoist/control/intent_rules.cpp
@@ -47,7 +47,8 @@
         target_spec spec;
         spec.service = base::service_id(wanted.subject);
         spec.zone = base::zone_id(declared->zone);
-        spec.address = base::endpoint::parse(declared->address).value_or(base::endpoint{});
+        spec.address =
+            base::endpoint::parse(declared->address).value_or(base::endpoint{});
         spec.slots = declared->slots;
         spec.connections = declared->connections;
         spec.connect_cost = milliseconds(declared->connect_cost_ms);
@@ -75,14 +76,16 @@
     const auto same = [](auto value) { return value; };
     for (auto& [id, spec] : current.targets) {
         if (spec.service == service) {
-            set_field(spec.slots, wanted.slots, "slots of target " + id.str(), done, same);
+            set_field(spec.slots, wanted.slots, "slots of target " + id.str(), done,
+                      same);
             set_field(spec.connections, wanted.connections,
                       "connections of target " + id.str(), done, same);
         }
     }
 }
 
-void set_zone(configuration& current, const intent& wanted, bool in_service, changes& done)
+void set_zone(configuration& current, const intent& wanted, bool in_service,
+              changes& done)
 {
     current.zones[base::zone_id(wanted.subject)].in_service = in_service;
     done.push_back("zone " + wanted.subject +
@@ -99,9 +102,9 @@
 
 void add_vm(configuration& current, const intent& wanted, changes& done)
 {
-    current.vms[base::vm_id(wanted.subject)] = vm_spec{
-        base::zone_id(wanted.zone),
-        base::endpoint::parse(wanted.address).value_or(base::endpoint{}), true};
+    current.vms[base::vm_id(wanted.subject)] =
+        vm_spec{base::zone_id(wanted.zone),
+                base::endpoint::parse(wanted.address).value_or(base::endpoint{}), true};
     done.push_back("added VM " + wanted.subject + " in zone " + wanted.zone);
 }
 
--- a/curranthoist/control/internal/intent_checker.cpp
+++ b/curranthoist/control/internal/intent_checker.cpp
@@ -93,11 +93,12 @@
         found_.add(place, "name is empty");
     }
     else if (name.size() > limits::max_name_bytes) {
-        found_.add(place, "name is longer than " + std::to_string(limits::max_name_bytes) +
-                              " bytes");
+        found_.add(place, "name is longer than " +
+                              std::to_string(limits::max_name_bytes) + " bytes");
     }
     else if (!std::all_of(name.begin(), name.end(), is_name_character)) {
-        found_.add(place, "name has a character other than letters, digits, '-', '_', '.'");
+        found_.add(place,
+                   "name has a character other than letters, digits, '-', '_', '.'");
     }
 }
 
@@ -229,9 +230,9 @@
     }
     const bool out = wanted_.kind == intent_kind::zone_out;
     if (found->second.in_service != out) {
-        found_.add(subject_, "zone '" + wanted_.subject +
-                                         (out ? "' is already out of service"
-                                              : "' is already in service"));
+        found_.add(subject_,
+                   "zone '" + wanted_.subject +
+                       (out ? "' is already out of service" : "' is already in service"));
         return;
     }
     if (out && zones_in_service(current_) == 1) {
@@ -239,8 +240,8 @@
                    "zone '" + wanted_.subject + "' is the last zone in service");
     }
     else if (out && usable_vms(current_, {}) > 0 && usable_vms(current_, zone) == 0) {
-        found_.add(subject_, "no VM in service is outside zone '" +
-                                         wanted_.subject + "'");
+        found_.add(subject_,
+                   "no VM in service is outside zone '" + wanted_.subject + "'");
     }
 }
 
@@ -253,9 +254,9 @@
     }
     const bool out = wanted_.kind == intent_kind::target_out;
     if (found->second.in_service != out) {
-        found_.add(subject_, "target '" + wanted_.subject +
-                                         (out ? "' is already out of service"
-                                              : "' is already in service"));
+        found_.add(subject_,
+                   "target '" + wanted_.subject +
+                       (out ? "' is already out of service" : "' is already in service"));
     }
 }
 
@@ -263,14 +264,14 @@
 {
     const auto found = current_.vms.find(base::vm_id(wanted_.subject));
     if (found != current_.vms.end()) {
-        found_.add(subject_, found->second.in_service
-                                         ? "duplicate VM '" + wanted_.subject + "'"
-                                         : "VM '" + wanted_.subject +
-                                               "' is still leaving; add it later");
+        found_.add(subject_,
+                   found->second.in_service
+                       ? "duplicate VM '" + wanted_.subject + "'"
+                       : "VM '" + wanted_.subject + "' is still leaving; add it later");
     }
     if (current_.vms.size() >= limits::max_vms) {
         found_.add(subject_, "there would be more than " +
-                                         std::to_string(limits::max_vms) + " VMs");
+                                 std::to_string(limits::max_vms) + " VMs");
     }
     if (!current_.zones.contains(base::zone_id(wanted_.zone))) {
         found_.add("intent.zone", "unknown zone '" + wanted_.zone + "'");
@@ -279,7 +280,7 @@
     for (const auto& [id, spec] : current_.vms) {
         if (spec.peer_address.str() == wanted_.address) {
             found_.add("intent.peer_address", "address " + wanted_.address +
-                                             " belongs to VM '" + id.str() + "'");
+                                                  " belongs to VM '" + id.str() + "'");
         }
     }
 }
@@ -298,8 +299,7 @@
     configuration left = current_;
     left.vms.erase(found->first);
     if (usable_vms(left, {}) == 0) {
-        found_.add(subject_,
-                   "VM '" + wanted_.subject + "' is the last VM in service");
+        found_.add(subject_, "VM '" + wanted_.subject + "' is the last VM in service");
     }
 }
 
--- a/curranthoist/control/json_fields.hpp
+++ b/curranthoist/control/json_fields.hpp
@@ -30,15 +30,15 @@
     template <class Field>
     void number(const std::string& name, Field& field)
     {
-        number_up_to(name, std::numeric_limits<Field>::max(),
-                     [&field](std::uint64_t value) { field = static_cast<Field>(value); });
+        number_up_to(
+            name, std::numeric_limits<Field>::max(),
+            [&field](std::uint64_t value) { field = static_cast<Field>(value); });
     }
     template <class Field, class Set>
     void number_for(const std::string& name, Set set)
     {
-        number_up_to(name, std::numeric_limits<Field>::max(), [&set](std::uint64_t value) {
-            set(static_cast<Field>(value));
-        });
+        number_up_to(name, std::numeric_limits<Field>::max(),
+                     [&set](std::uint64_t value) { set(static_cast<Field>(value)); });
     }
     std::uint64_t required_number(const std::string& name);
     // Calls set(value) if the field is there and a boolean.
@@ -70,7 +70,10 @@
         if (value == nullptr) {
             return;
         }
-        if (!value->is_number_unsigned() || value->get<std::uint64_t>() > highest) {
+        const bool natural =
+            value->is_number_unsigned() ||
+            (value->is_number_integer() && value->get<std::int64_t>() >= 0);
+        if (!natural || value->get<std::uint64_t>() > highest) {
             add(name, "is not an integer from 0 to " + std::to_string(highest));
             return;
         }
--- a/curranthoist/control/lease_controller.hpp
+++ b/curranthoist/control/lease_controller.hpp
@@ -84,8 +84,8 @@
     {
         return closing_.contains(vm);
     }
-    // False for 2 s after such a proposal. A lost one is repeated then; a duplicate closes
-    // nothing.
+    // False for 2 s after such a proposal. A lost one is repeated then; a duplicate
+    // closes nothing.
     [[nodiscard]] bool may_close_again(const base::vm_id& vm, base::instant now) const;
     // The revision that the process had applied at its last heartbeat.
     [[nodiscard]] base::revision applied(const base::vm_id& vm,
--- a/curranthoist/control/plan.cpp
+++ b/curranthoist/control/plan.cpp
@@ -1,8 +1,8 @@
 #include "curranthoist/control/plan.hpp"
 
 #include "curranthoist/control/cluster_state.hpp"
-#include "curranthoist/control/internal/plan_maker.hpp"
 #include "curranthoist/control/intent_rules.hpp"
+#include "curranthoist/control/internal/plan_maker.hpp"
 #include "curranthoist/control/roster.hpp"
 
 #include <algorithm>
@@ -34,7 +34,10 @@
     return kind == intent_kind::zone_out || kind == intent_kind::target_out;
 }
 
-std::string number(std::uint64_t value) { return std::to_string(value); }
+std::string number(std::uint64_t value)
+{
+    return std::to_string(value);
+}
 
 } // namespace
 
@@ -156,10 +159,10 @@
     const bool demands = after_.services.at(service.service).demand_complete;
     const bool takes = takes_work_away(wanted_.kind);
     const bool loses = left.covered < before.covered || (left.slots == 0 && before.slots);
-    const std::string loss =
-        left.slots == 0 ? name + " would have no target left"
-                        : name + " would cover " + number(left.covered) + " of " +
-                              number(left.shards) + " shards";
+    const std::string loss = left.slots == 0
+                                 ? name + " would have no target left"
+                                 : name + " would cover " + number(left.covered) +
+                                       " of " + number(left.shards) + " shards";
     if (takes && loses && demands) {
         plan_.refused.add("intent." + subject_field(wanted_.kind),
                           loss + ", and it demands complete responses");
@@ -220,9 +223,9 @@
         std::count_if(after_.vms.begin(), after_.vms.end(), [this](const auto& entry) {
             return entry.second.in_service && in_service(after_, entry.second.zone);
         }));
-    const auto targets = static_cast<std::size_t>(
-        std::count_if(after_.targets.begin(), after_.targets.end(),
-                      [this](const auto& entry) { return in_service(after_, entry.second); }));
+    const auto targets = static_cast<std::size_t>(std::count_if(
+        after_.targets.begin(), after_.targets.end(),
+        [this](const auto& entry) { return in_service(after_, entry.second); }));
     if (targets > 0 && vms == 0) {
         plan_.warnings.emplace_back("no VM is in service to own the targets");
     }
--- a/curranthoist/control/roster.cpp
+++ b/curranthoist/control/roster.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-bool same_snapshots(const wire::target_fact_message& a, const wire::target_fact_message& b)
+bool same_snapshots(const wire::target_fact_message& a,
+                    const wire::target_fact_message& b)
 {
     return std::equal(a.snapshots.begin(), a.snapshots.end(), b.snapshots.begin(),
                       b.snapshots.end(), [](const auto& one, const auto& other) {
--- a/curranthoist/control/roster.hpp
+++ b/curranthoist/control/roster.hpp
@@ -32,8 +32,8 @@
         std::uint64_t changed_at = 0;
     };
 
-    // Takes over those facts whose target is assigned to `vm` in `current`; a former owner
-    // has no say any more. Returns true if anything changed.
+    // Takes over those facts whose target is assigned to `vm` in `current`; a former
+    // owner has no say any more. Returns true if anything changed.
     bool merge(const base::vm_id& vm, const wire::heartbeat& report,
                const configuration& current);
 
--- a/curranthoist/control/simulated_vm_test.hpp
+++ b/curranthoist/control/simulated_vm_test.hpp
@@ -73,8 +73,7 @@
     {
         const auto held = known_.assignments.find(target);
         return has_lease(now) && held != known_.assignments.end() &&
-               held->second.owner == vm_ &&
-               held->second.phase == assignment_phase::owned;
+               held->second.owner == vm_ && held->second.phase == assignment_phase::owned;
     }
     // Whether it starts new requests at the target at `now`.
     [[nodiscard]] bool starts_work_at(const base::target_id& target,
--- a/curranthoist/controld/control_service.hpp
+++ b/curranthoist/controld/control_service.hpp
@@ -44,7 +44,10 @@
     void on_leadership(bool is_leader);
     void on_request(const http::caller_request& request, http::responder answer);
     // Called on each tick, for duties that belong to one kind of log.
-    void set_tick_handler(std::function<void()> handler) { on_tick_ = std::move(handler); }
+    void set_tick_handler(std::function<void()> handler)
+    {
+        on_tick_ = std::move(handler);
+    }
     // Proposes a command of the log's host, such as member_replaced.
     void propose(std::vector<std::uint8_t> command);
 
--- a/curranthoist/controld/entry_acceptor.hpp
+++ b/curranthoist/controld/entry_acceptor.hpp
@@ -14,8 +14,8 @@
 
 namespace curranthoist::controld {
 
-// Accepts entry VMs' sessions where no replicated log does it: sends this side's hello and
-// hands the session over when the other side's hello has arrived.
+// Accepts entry VMs' sessions where no replicated log does it: sends this side's hello
+// and hands the session over when the other side's hello has arrived.
 class entry_acceptor
 {
 public:
--- a/curranthoist/controld/internal/control_service.hpp
+++ b/curranthoist/controld/internal/control_service.hpp
@@ -92,8 +92,8 @@
         }
     }
     for (const control::session_number number : silent) {
-        close_session(number, "no message for " +
-                                  std::to_string(silence_limit.count()) + " ms");
+        close_session(number,
+                      "no message for " + std::to_string(silence_limit.count()) + " ms");
     }
 }
 
@@ -199,8 +199,8 @@
                                                http::responder answer)
 {
     if (request.path == "/metrics" && request.method == "GET") {
-        answer.respond(
-            {.headers = {{"Content-Type", "text/plain; version=0.0.4"}}, .body = metrics()});
+        answer.respond({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+                        .body = metrics()});
         return;
     }
     const operator_result result = api_.handle(request.method, request.path, request.body,
@@ -220,13 +220,13 @@
         respond(answer, operator_api::confirm_unknown());
         return;
     }
-    log_.propose(result.proposal, [this, id = result.awaited](auto outcome,
-                                                              base::log_index) {
-        // An applied command has been answered by on_applied().
-        if (outcome != decltype(outcome)::applied) {
-            this->answer(id, operator_api::confirm_unknown());
-        }
-    });
+    log_.propose(result.proposal,
+                 [this, id = result.awaited](auto outcome, base::log_index) {
+                     // An applied command has been answered by on_applied().
+                     if (outcome != decltype(outcome)::applied) {
+                         this->answer(id, operator_api::confirm_unknown());
+                     }
+                 });
 }
 
 template <replicated_log Log, class Session>
--- a/curranthoist/controld/json_views.cpp
+++ b/curranthoist/controld/json_views.cpp
@@ -75,12 +75,9 @@
                             {"shards_covered_left", one.covered_left},
                             {"shards_with_single_target", one.single_left}});
     }
-    return {{"plan_id", value.plan_id},
-            {"base_revision", value.base_revision.value()},
-            {"steps", value.steps},
-            {"capacity", capacity},
-            {"warnings", value.warnings},
-            {"refused", to_json(value.refused)}};
+    return {{"plan_id", value.plan_id},   {"base_revision", value.base_revision.value()},
+            {"steps", value.steps},       {"capacity", capacity},
+            {"warnings", value.warnings}, {"refused", to_json(value.refused)}};
 }
 
 json to_json(const control::decision& value)
--- a/curranthoist/controld/main.cpp
+++ b/curranthoist/controld/main.cpp
@@ -44,7 +44,8 @@
     ev::default_loop loop;
     controld::applied_state machine;
     log_type log(loop, machine);
-    service_type service(loop, machine, log, [&settings] { return members_of(settings); });
+    service_type service(loop, machine, log,
+                         [&settings] { return members_of(settings); });
     controld::entry_acceptor sessions(
         loop, settings.peers, settings.name.str(),
         [&service](std::unique_ptr<controld::entry_session> session,
@@ -52,8 +53,7 @@
             service.on_entry(std::move(session), hello);
         });
     http::caller_server server(
-        loop,
-        {.listen = settings.operators, .max_body_bytes = max_operator_body_bytes},
+        loop, {.listen = settings.operators, .max_body_bytes = max_operator_body_bytes},
         [&service](const http::caller_request& request, http::responder answer) {
             service.on_request(request, std::move(answer));
         });
--- a/curranthoist/controld/operator_api.cpp
+++ b/curranthoist/controld/operator_api.cpp
@@ -87,8 +87,7 @@
     if (members.leader_operators_address.empty()) {
         return error(unavailable, "no leader is known");
     }
-    operator_response response =
-        error(redirect, "the leader is " + members.leader);
+    operator_response response = error(redirect, "the leader is " + members.leader);
     response.location = "http://" + members.leader_operators_address + std::string(path);
     return response;
 }
@@ -100,20 +99,23 @@
                                      base::instant wall) const
 {
     const bool post = path == "/v1/plan" || path == "/v1/confirm";
-    const bool get = path == "/v1/status" || path == "/v1/configuration" ||
-                     path == "/v1/decisions";
+    const bool get =
+        path == "/v1/status" || path == "/v1/configuration" || path == "/v1/decisions";
     if (!post && !get) {
         return {error(not_found, "unknown path"), {}, {}};
     }
     if (method != (post ? "POST" : "GET")) {
-        return {error(bad_method, "this path takes " + std::string(post ? "POST" : "GET")),
-                {}, {}};
+        return {
+            error(bad_method, "this path takes " + std::string(post ? "POST" : "GET")),
+            {},
+            {}};
     }
     if (!leader_.is_leader()) {
         return {not_leader(path, members), {}, {}};
     }
     if (!leader_.is_ready()) {
-        return {error(unavailable, "the leader waits for a quorum to confirm it"), {}, {}};
+        return {
+            error(unavailable, "the leader waits for a quorum to confirm it"), {}, {}};
     }
     if (path == "/v1/confirm") {
         return confirm(body, wall);
@@ -156,20 +158,20 @@
         command.operator_name = fields.required_text("operator");
         plan_id = fields.required_text("plan_id");
         command.base_revision = fields.required_number("base_revision");
-        command.value =
-            std::make_unique<control::intent>(intent_field(fields, found));
+        command.value = std::make_unique<control::intent>(intent_field(fields, found));
         fields.finish();
         for (const char* name : {"intent_id", "operator"}) {
             const json* value = fields.find(name);
             if (value != nullptr && value->is_string() &&
                 value->get_ref<const std::string&>().size() > max_id_bytes) {
-                fields.add(name, "is longer than " + std::to_string(max_id_bytes) +
-                                     " bytes");
+                fields.add(name,
+                           "is longer than " + std::to_string(max_id_bytes) + " bytes");
             }
         }
     }
     if (!found.empty()) {
-        return {findings_response(bad_request, "the request has mistakes", found), {}, {}};
+        return {
+            findings_response(bad_request, "the request has mistakes", found), {}, {}};
     }
     if (auto early = early_answer(command, plan_id)) {
         return {std::move(early), {}, {}};
--- a/curranthoist/controld/operator_api.hpp
+++ b/curranthoist/controld/operator_api.hpp
@@ -43,7 +43,8 @@
 
 private:
     [[nodiscard]] operator_response plan(std::string_view body) const;
-    [[nodiscard]] operator_result confirm(std::string_view body, base::instant wall) const;
+    [[nodiscard]] operator_result confirm(std::string_view body,
+                                          base::instant wall) const;
     // The answer if the state decides without a new command; nothing otherwise.
     [[nodiscard]] std::optional<operator_response>
     early_answer(const control::encoded::operator_intent_message& command,
--- a/curranthoist/controld/replicated_log.hpp
+++ b/curranthoist/controld/replicated_log.hpp
@@ -10,10 +10,10 @@
 // and memory_log for a single process without a disk. Callbacks run from the loop, never
 // inside the call that registers them.
 template <class Log>
-concept replicated_log =
-    requires(Log& log, const Log& constant, std::vector<std::uint8_t> command,
-             typename Log::proposal_callback proposed,
-             typename Log::read_callback confirmed)
+concept replicated_log = requires(Log& log, const Log& constant,
+                                  std::vector<std::uint8_t> command,
+                                  typename Log::proposal_callback proposed,
+                                  typename Log::read_callback confirmed)
 {
     log.propose(command, proposed);
     log.confirm_read(confirmed);
--- a/curranthoist/ctl/commands.cpp
+++ b/curranthoist/ctl/commands.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/ctl/intent_source.hpp"
 #include "curranthoist/ctl/text_views.hpp"
 
+#include <cstdint>
 #include <iostream>
 
 namespace curranthoist::ctl {
@@ -131,7 +132,7 @@
     const json body = {{"intent_id", id},
                        {"operator", chosen_.operator_name},
                        {"plan_id", plan->value("plan_id", "")},
-                       {"base_revision", plan->value("base_revision", 0)},
+                       {"base_revision", plan->value("base_revision", std::uint64_t{0})},
                        {"intent", intent}};
     const auto outcome = request("POST", "/v1/confirm", body, failed);
     if (!outcome) {
@@ -139,7 +140,8 @@
     }
     results.push_back(*outcome);
     if (!chosen_.json) {
-        std::cout << "accepted as revision " << outcome->value("revision", 0) << "\n";
+        std::cout << "accepted as revision "
+                  << outcome->value("revision", std::uint64_t{0}) << "\n";
     }
     return exit_code::done;
 }
@@ -178,14 +180,20 @@
     return exit_code::done;
 }
 
-exit_code commands::status() { return show("/v1/status", print_status_text); }
+exit_code commands::status()
+{
+    return show("/v1/status", print_status_text);
+}
 
 exit_code commands::configuration()
 {
     return show("/v1/configuration", print_configuration_text);
 }
 
-exit_code commands::decisions() { return show("/v1/decisions", print_decisions_text); }
+exit_code commands::decisions()
+{
+    return show("/v1/decisions", print_decisions_text);
+}
 
 exit_code commands::explain()
 {
--- a/curranthoist/ctl/commands.hpp
+++ b/curranthoist/ctl/commands.hpp
@@ -22,7 +22,8 @@
 
     // Shows the plans of all named intents; each is made on the state as it is.
     exit_code plan();
-    // Plans, shows and confirms each named intent in order; stops at the first that fails.
+    // Plans, shows and confirms each named intent in order; stops at the first that
+    // fails.
     exit_code apply();
     exit_code status();
     exit_code configuration();
@@ -37,8 +38,7 @@
                                           const nlohmann::json& body, exit_code& failed);
     exit_code apply_one(const nlohmann::json& intent, const std::string& id,
                         nlohmann::json& results);
-    exit_code show(const std::string& path,
-                   void (*print)(const nlohmann::json& value));
+    exit_code show(const std::string& path, void (*print)(const nlohmann::json& value));
     bool is_confirmed();
     void print_plan(const nlohmann::json& plan) const;
 
--- a/curranthoist/ctl/control_client.cpp
+++ b/curranthoist/ctl/control_client.cpp
@@ -45,9 +45,10 @@
     }
 }
 
-std::optional<control_client::response>
-control_client::call(const std::string& method, const std::string& path,
-                     const std::string& body, base::duration limit)
+std::optional<control_client::response> control_client::call(const std::string& method,
+                                                             const std::string& path,
+                                                             const std::string& body,
+                                                             base::duration limit)
 {
     const base::monotonic_clock clock;
     const base::instant end = clock.now() + limit;
@@ -62,9 +63,9 @@
     }
 }
 
-std::optional<control_client::response>
-control_client::try_all(const std::string& method, const std::string& path,
-                        const std::string& body)
+std::optional<control_client::response> control_client::try_all(const std::string& method,
+                                                                const std::string& path,
+                                                                const std::string& body)
 {
     failures_.clear();
     for (std::size_t i = 0; i < controls_.size(); ++i) {
@@ -77,9 +78,10 @@
     return std::nullopt;
 }
 
-std::optional<control_client::response>
-control_client::try_one(std::string url, const std::string& path,
-                        const std::string& method, const std::string& body)
+std::optional<control_client::response> control_client::try_one(std::string url,
+                                                                const std::string& path,
+                                                                const std::string& method,
+                                                                const std::string& body)
 {
     for (int hops = 0; hops <= max_redirects; ++hops) {
         std::string location;
--- a/curranthoist/ctl/control_client.hpp
+++ b/curranthoist/ctl/control_client.hpp
@@ -24,9 +24,9 @@
     // `controls` are "address:port".
     explicit control_client(std::vector<std::string> controls);
 
-    // One request to the leader. Repeats it until a leader answers or `limit` is over; with
-    // a limit of 0 each address is tried once. Nothing if no leader answered. The request
-    // must be safe to repeat.
+    // One request to the leader. Repeats it until a leader answers or `limit` is over;
+    // with a limit of 0 each address is tried once. Nothing if no leader answered. The
+    // request must be safe to repeat.
     std::optional<response> call(const std::string& method, const std::string& path,
                                  const std::string& body, base::duration limit);
     // Why the last attempt at each address failed, one a line.
--- a/curranthoist/ctl/exit_code.hpp
+++ b/curranthoist/ctl/exit_code.hpp
@@ -10,7 +10,8 @@
     usage = 2,
     // The rules refuse the intent.
     refused = 3,
-    // The configuration changed since the plan, or the intent id was used for another one.
+    // The configuration changed since the plan, or the intent id was used for another
+    // one.
     conflict = 4,
     // No control process answered; whether an intent was accepted is not known.
     unavailable = 5,
--- a/curranthoist/ctl/text_views.cpp
+++ b/curranthoist/ctl/text_views.cpp
@@ -94,7 +94,10 @@
     std::cout << configuration.dump(2) << "\n";
 }
 
-void print_decision_text(const json& decision) { print_decision(std::cout, decision); }
+void print_decision_text(const json& decision)
+{
+    print_decision(std::cout, decision);
+}
 
 void print_decisions_text(const json& decisions)
 {
