--- a/curranthoist/controld/main.cpp
+++ b/curranthoist/controld/main.cpp
@@ -1,77 +1,77 @@
 #include "curranthoist/base/findings_error.hpp"
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/controld/command_line.hpp"
-#include "curranthoist/controld/control_service.hpp"
-#include "curranthoist/controld/entry_acceptor.hpp"
-#include "curranthoist/controld/memory_log.hpp"
-#include "curranthoist/http/caller_server.hpp"
+#include "curranthoist/controld/control_process.hpp"
 #include "curranthoist/settings/control_settings.hpp"
 
 #include <ev++.h>
 
 #include <csignal>
+#include <exception>
 #include <iostream>
-#include <utility>
 
 namespace {
 
 using namespace curranthoist;
 
-using log_type = controld::memory_log<controld::applied_state>;
-using service_type = controld::control_service<log_type, controld::entry_session>;
+constexpr int bad_settings = 2;
+constexpr int bad_data_folder = 3;
 
-// Longer than a create_service intent with the design size's 4,500 targets.
-constexpr std::size_t max_operator_body_bytes = std::size_t{4} * 1024 * 1024;
-
-controld::members_view members_of(const settings::control_settings& settings)
+controld::start_mode mode_of(const controld::command_line& line)
 {
-    controld::members_view view;
-    view.self = settings.name.str();
-    view.leader = view.self;
-    view.leader_operators_address = settings.operators.str();
-    view.members.push_back({view.self, settings.peers.str(), "voter", 0});
-    return view;
+    if (line.init_cluster) {
+        return controld::start_mode::new_cluster;
+    }
+    return line.init_replacement ? controld::start_mode::replacement
+                                 : controld::start_mode::existing;
 }
 
-void stop_loop(ev::sig& watcher, int /*events*/)
+// Ends the process gracefully on a signal.
+class signal_stop
 {
-    base::logger("control").info("stopping after a signal");
-    watcher.loop.break_loop(ev::ALL);
-}
+public:
+    signal_stop(ev::loop_ref loop, controld::control_process& process)
+        : process_(process)
+        , terminate_(loop)
+        , interrupt_(loop)
+    {
+        terminate_.set<signal_stop, &signal_stop::on_signal>(this);
+        terminate_.start(SIGTERM);
+        interrupt_.set<signal_stop, &signal_stop::on_signal>(this);
+        interrupt_.start(SIGINT);
+    }
+
+private:
+    void on_signal(ev::sig& /*watcher*/, int /*events*/)
+    {
+        base::logger("control").info("stopping after a signal");
+        process_.stop();
+    }
+
+    controld::control_process& process_;
+    ev::sig terminate_;
+    ev::sig interrupt_;
+};
 
-void run(const settings::control_settings& settings)
+int run(const settings::control_settings& settings, controld::start_mode mode)
 {
     ev::default_loop loop;
-    controld::applied_state machine;
-    log_type log(loop, machine);
-    service_type service(loop, machine, log,
-                         [&settings] { return members_of(settings); });
-    controld::entry_acceptor sessions(
-        loop, settings.peers, settings.name.str(),
-        [&service](std::unique_ptr<controld::entry_session> session,
-                   const wire::hello& hello) {
-            service.on_entry(std::move(session), hello);
-        });
-    http::caller_server server(
-        loop, {.listen = settings.operators, .max_body_bytes = max_operator_body_bytes},
-        [&service](const http::caller_request& request, http::responder answer) {
-            service.on_request(request, std::move(answer));
-        });
-    ev::sig terminate(loop);
-    terminate.set<stop_loop>();
-    terminate.start(SIGTERM);
-    ev::sig interrupt(loop);
-    interrupt.set<stop_loop>();
-    interrupt.start(SIGINT);
-    service.on_leadership(true);
-    loop.run(0);
+    try {
+        controld::control_process process(loop, settings, mode);
+        const signal_stop stop(loop, process);
+        loop.run(0);
+        return 0;
+    }
+    catch (const base::findings_error& error) {
+        std::cerr << error.what();
+        return bad_data_folder;
+    }
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    constexpr int bad_settings = 2;
     int exit_status = 0;
     const auto line = controld::read_command_line(argc, argv, exit_status);
     if (!line) {
@@ -83,8 +83,7 @@
             return 0;
         }
         base::configure_logging(settings.log_level);
-        run(settings);
-        return 0;
+        return run(settings, mode_of(*line));
     }
     catch (const base::findings_error& error) {
         std::cerr << error.what();
--- a/curranthoist/controld/operator_api.cpp
+++ b/curranthoist/controld/operator_api.cpp
@@ -118,10 +118,10 @@
             error(unavailable, "the leader waits for a quorum to confirm it"), {}, {}};
     }
     if (path == "/v1/confirm") {
-        return confirm(body, wall);
+        return confirm(body, members, wall);
     }
     if (path == "/v1/plan") {
-        return {plan(body), {}, {}};
+        return {plan(body, members), {}, {}};
     }
     if (path == "/v1/status") {
         return {status(members), {}, {}};
@@ -129,7 +129,29 @@
     return {path == "/v1/configuration" ? configuration() : decisions(), {}, {}};
 }
 
-operator_response operator_api::plan(std::string_view body) const
+control::plan operator_api::plan_for(const control::intent& wanted,
+                                     const members_view& members) const
+{
+    control::plan made = make_plan(state_, leader_.facts(), wanted);
+    if (wanted.kind != control::intent_kind::replace_member) {
+        return made;
+    }
+    const auto is_member = [&members](const std::string& name) {
+        return std::any_of(members.members.begin(), members.members.end(),
+                           [&name](const auto& one) { return one.name == name; });
+    };
+    if (!is_member(wanted.subject)) {
+        made.refused.add("intent.member", "unknown member '" + wanted.subject + "'");
+    }
+    if (is_member(wanted.new_member)) {
+        made.refused.add("intent.new_member",
+                         "'" + wanted.new_member + "' is a member already");
+    }
+    return made;
+}
+
+operator_response operator_api::plan(std::string_view body,
+                                     const members_view& members) const
 {
     base::findings found;
     const json request = parse(body, found);
@@ -142,10 +164,12 @@
     if (!found.empty()) {
         return findings_response(bad_request, "the request has mistakes", found);
     }
-    return {ok, text_of(to_json(make_plan(state_, leader_.facts(), wanted))), {}};
+    return {ok, text_of(to_json(plan_for(wanted, members))), {}};
 }
 
-operator_result operator_api::confirm(std::string_view body, base::instant wall) const
+operator_result operator_api::confirm(std::string_view body,
+                                      const members_view& members,
+                                      base::instant wall) const
 {
     constexpr std::size_t max_id_bytes = 200;
     base::findings found;
@@ -173,7 +197,7 @@
         return {
             findings_response(bad_request, "the request has mistakes", found), {}, {}};
     }
-    if (auto early = early_answer(command, plan_id)) {
+    if (auto early = early_answer(command, plan_id, members)) {
         return {std::move(early), {}, {}};
     }
     const base::intent_id id(command.intent_id);
@@ -182,7 +206,8 @@
 
 std::optional<operator_response>
 operator_api::early_answer(const control::encoded::operator_intent_message& command,
-                           const std::string& plan_id) const
+                           const std::string& plan_id,
+                           const members_view& members) const
 {
     control::intent_result known;
     known.id = base::intent_id(command.intent_id);
@@ -197,7 +222,7 @@
     if (planned != state_.operator_revision()) {
         return stale_response(state_.operator_decisions_since(planned));
     }
-    const control::plan now = make_plan(state_, leader_.facts(), *command.value);
+    const control::plan now = plan_for(*command.value, members);
     if (!now.refused.empty()) {
         return findings_response(refused_by_rules, "the intent is refused", now.refused);
     }
--- a/curranthoist/controld/operator_api.hpp
+++ b/curranthoist/controld/operator_api.hpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/instant.hpp"
 #include "curranthoist/control/apply_result.hpp"
+#include "curranthoist/control/plan.hpp"
 #include "curranthoist/controld/members_view.hpp"
 #include "curranthoist/controld/operator_result.hpp"
 
@@ -42,13 +43,18 @@
     [[nodiscard]] static operator_response confirm_unknown();
 
 private:
-    [[nodiscard]] operator_response plan(std::string_view body) const;
+    // The plan, also checked against the members of the log.
+    [[nodiscard]] control::plan plan_for(const control::intent& wanted,
+                                         const members_view& members) const;
+    [[nodiscard]] operator_response plan(std::string_view body,
+                                         const members_view& members) const;
     [[nodiscard]] operator_result confirm(std::string_view body,
+                                          const members_view& members,
                                           base::instant wall) const;
     // The answer if the state decides without a new command; nothing otherwise.
     [[nodiscard]] std::optional<operator_response>
     early_answer(const control::encoded::operator_intent_message& command,
-                 const std::string& plan_id) const;
+                 const std::string& plan_id, const members_view& members) const;
     [[nodiscard]] operator_response status(const members_view& members) const;
     [[nodiscard]] nlohmann::json vm_status() const;
     [[nodiscard]] operator_response configuration() const;
