--- a/curranthoist/control/controller_schedule_test.hpp
+++ b/curranthoist/control/controller_schedule_test.hpp
@@ -45,6 +45,9 @@
     void run(base::duration time, bool faults)
     {
         faults_ = faults;
+        while (!faults && !out_since_.empty()) {
+            toggle(out_since_.begin()->first);
+        }
         const base::instant end = now_ + time;
         while (now_ < end) {
             now_ = now_ + base::duration(10);
@@ -58,6 +61,7 @@
             }
             tick();
             check();
+            check_out_targets();
         }
     }
     // What was seen, empty if no target ever had two holders.
@@ -95,7 +99,10 @@
         base::instant in_order_down;
     };
 
-    static base::target_id target(int i) { return base::target_id("t" + std::to_string(i)); }
+    static base::target_id target(int i)
+    {
+        return base::target_id("t" + std::to_string(i));
+    }
     event_time time() const { return {now_, now_}; }
     base::duration delay(int most) { return base::duration(random_.between(1, most)); }
     void later(base::instant at, std::function<void()> action)
@@ -108,7 +115,9 @@
         encoded::operator_intent_message command;
         command.intent_id = "i" + std::to_string(log_.size());
         command.operator_name = "test";
-        command.base_revision = log_.size();
+        command.base_revision = members_[present_].applied == 0
+                                    ? log_.size()
+                                    : state().operator_revision().value();
         command.value = std::make_unique<intent>(std::move(wanted));
         log_.push_back(encode_command(now_, std::move(command)));
     }
@@ -197,16 +206,16 @@
             return;
         }
         to->in_order_down = std::max(to->in_order_down, now_ + delay(40));
-        later(to->in_order_down,
-              [this, number, session = message.session, frame = std::move(message.frame)] {
-                  process* receiver = process_of(number, session);
-                  if (receiver != nullptr && receiver->running) {
-                      receiver->vm->receive(frame);
-                      if (!receiver->vm->refused) {
-                          receiver->last_grant = now_;
-                      }
-                  }
-              });
+        later(to->in_order_down, [this, number, session = message.session,
+                                  frame = std::move(message.frame)] {
+            process* receiver = process_of(number, session);
+            if (receiver != nullptr && receiver->running) {
+                receiver->vm->receive(frame);
+                if (!receiver->vm->refused) {
+                    receiver->last_grant = now_;
+                }
+            }
+        });
     }
     process* process_of(std::size_t number, session_number session)
     {
@@ -222,19 +231,18 @@
     {
         process started;
         const double rate = 0.95 + random_.unit() * 0.1;
-        started.vm = std::make_unique<simulated_vm>(
-            base::vm_id("v" + std::to_string(number)), base::incarnation(++last_run_),
-            rate);
+        started.vm =
+            std::make_unique<simulated_vm>(base::vm_id("v" + std::to_string(number)),
+                                           base::incarnation(++last_run_), rate);
         processes_.push_back(std::move(started));
         connect(processes_.back());
     }
     void connect(process& one)
     {
         if (one.session != 0) {
-            later(now_ + delay(3000),
-                  [this, member = one.member, session = one.session] {
-                      members_[member].leader->on_session_closed(session);
-                  });
+            later(now_ + delay(3000), [this, member = one.member, session = one.session] {
+                members_[member].leader->on_session_closed(session);
+            });
         }
         // Often a hint names the leader.
         one.member = !faults_ || random_.chance(0.5) ? present_ : random_.below(members);
@@ -256,21 +264,20 @@
         if (now_ < one.cut_until) {
             return;
         }
-        later(one.in_order_up,
-              [this, member = one.member, session = one.session,
-               frame = wire::encode_frame(std::move(message))] {
-                  const std::span<const std::uint8_t> all(frame);
-                  const wire::envelope* body =
-                      wire::verified_envelope(all.subspan(wire::frame_prefix_bytes));
-                  controller& receiver = *members_[member].leader;
-                  if (const auto* hello = body->body_as_hello()) {
-                      receiver.on_session_opened(session, *hello, time());
-                  }
-                  else {
-                      receiver.on_message(session, *body, time());
-                  }
-                  drain(member);
-              });
+        later(one.in_order_up, [this, member = one.member, session = one.session,
+                                frame = wire::encode_frame(std::move(message))] {
+            const std::span<const std::uint8_t> all(frame);
+            const wire::envelope* body =
+                wire::verified_envelope(all.subspan(wire::frame_prefix_bytes));
+            controller& receiver = *members_[member].leader;
+            if (const auto* hello = body->body_as_hello()) {
+                receiver.on_session_opened(session, *hello, time());
+            }
+            else {
+                receiver.on_message(session, *body, time());
+            }
+            drain(member);
+        });
     }
 
     void tick()
@@ -292,8 +299,26 @@
             send_up(one, one.vm->heartbeat(now_));
         }
     }
+    // An operator takes the target out of service, or in again.
+    void toggle(const base::target_id& id)
+    {
+        const bool out = out_since_.erase(id) == 0;
+        if (out) {
+            out_since_[id] = now_;
+        }
+        intent wanted;
+        wanted.kind = out ? intent_kind::target_out : intent_kind::target_in;
+        wanted.subject = id.str();
+        apply_log(present_);
+        declare_one(std::move(wanted));
+        apply_log(present_);
+        drain(present_);
+    }
     void inject_faults()
     {
+        if (random_.chance(0.002)) {
+            toggle(target(static_cast<int>(random_.below(targets))));
+        }
         if (random_.chance(0.001)) {
             elect((present_ + 1 + random_.below(members - 1)) % members);
         }
@@ -339,6 +364,23 @@
         }
     }
 
+    // A target that operators took out gets no new work later than 2 s for the revision
+    // and 4 s for the lease, by clocks that run up to 5% slower.
+    void check_out_targets()
+    {
+        for (const auto& [id, since] : out_since_) {
+            for (const process* one : holders(id)) {
+                if (now_ - since > base::duration(6'300) &&
+                    one->vm->starts_work_at(id, now_) && violation_.empty()) {
+                    violation_ = "target " + id.str() + " gets work from " +
+                                 one->vm->vm().str() + " at " +
+                                 std::to_string(now_.count()) + " ms and is out since " +
+                                 std::to_string(since.count()) + " ms";
+                }
+            }
+        }
+    }
+
     base::random_source random_;
     base::instant now_{1'000'000};
     std::multimap<base::instant, std::function<void()>> events_;
@@ -351,6 +393,7 @@
     std::vector<process> processes_;
     std::uint64_t last_run_ = 0;
     session_number last_session_ = 0;
+    std::map<base::target_id, base::instant> out_since_;
     std::string violation_;
 };
 
