--- a/curranthoist/admission/target_admission_test.cpp
+++ b/curranthoist/admission/target_admission_test.cpp
@@ -12,7 +12,7 @@
 // Drives one admission by hand and sums up its actions as text, such as "start 1 fresh".
 class target_admission_test : public testing::Test
 {
-protected:
+public:
     explicit target_admission_test(bool warm = true)
         : admission(options(warm))
     {
@@ -97,7 +97,7 @@
 
 class cold_target_test : public target_admission_test
 {
-protected:
+public:
     cold_target_test()
         : target_admission_test(false)
     {}
--- a/curranthoist/execution/order_attempt_impl.hpp
+++ b/curranthoist/execution/order_attempt_impl.hpp
@@ -323,8 +323,8 @@
         result = concluded_.outcome == order_outcome::ran ? wire::claim_result::ran
                                                           : wire::claim_result::not_run;
     }
-    out.emplace_back(std::in_place_type<record_outcome>, options_.attempt, result,
-                     concluded_.body);
+    out.emplace_back(std::in_place_type<record_outcome>,
+                     record_outcome{options_.attempt, result, concluded_.body});
 }
 
 template <routing::replica_choice Choice, routing::hedging Hedging, retry_rule Rule>
--- a/curranthoist/routing/replica_choice_test.cpp
+++ b/curranthoist/routing/replica_choice_test.cpp
@@ -14,7 +14,7 @@
 
 class replica_choice_test : public testing::Test
 {
-protected:
+public:
     replica_choice_test()
     {
         for (std::size_t i = 0; i < replicas.size(); ++i) {
--- a/curranthoist/routing/scatter_parts.hpp
+++ b/curranthoist/routing/scatter_parts.hpp
@@ -26,8 +26,8 @@
             return;
         }
     }
-    out.emplace_back(std::in_place_type<send_parts>, where.owner, version_, answer_time(),
-                     std::vector<part_attempt>{sent});
+    out.emplace_back(std::in_place_type<send_parts>,
+                     send_parts{where.owner, version_, answer_time(), {sent}});
 }
 
 template <replica_choice Choice, hedging Hedging, reply_check Check>
@@ -59,8 +59,8 @@
     for (const open_attempt& attempt : shard.open) {
         may_have_run_ = true;
         context_.loads.on_done(attempt.sent.where.target);
-        out.emplace_back(std::in_place_type<cancel_part>, attempt.sent.where.owner,
-                         attempt.sent.part);
+        out.emplace_back(std::in_place_type<cancel_part>,
+                         cancel_part{attempt.sent.where.owner, attempt.sent.part});
     }
     shard.open.clear();
 }
--- a/curranthoist/routing/scatter_test.cpp
+++ b/curranthoist/routing/scatter_test.cpp
@@ -11,7 +11,7 @@
 // One query over 3 shards with replicas a (owner vm-a) and b (vm-b) of version 1.
 class scatter_test : public testing::Test
 {
-protected:
+public:
     scatter_test()
     {
         options.query = 77;
--- a/curranthoist/routing/shard_map_test.cpp
+++ b/curranthoist/routing/shard_map_test.cpp
@@ -11,7 +11,7 @@
 // Two shards with two targets each, all holding version 1; "t-0a" is shard 0 in zone a.
 class shard_map_test : public testing::Test
 {
-protected:
+public:
     shard_map_test()
     {
         configuration.services[service] = {};
