--- /dev/null
+++ b/curranthoist/consensus/peer_links.cpp
@@ -0,0 +1,192 @@
+#include "curranthoist/consensus/peer_links.hpp"
+
+#include "curranthoist/consensus/wire_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace curranthoist::consensus {
+
+struct peer_links::dialed_peer
+{
+    member remote;
+    // True once the hello at the other end named this member.
+    bool confirmed = false;
+    // The time of the first message sent since the last one received.
+    std::optional<base::instant> unanswered_since;
+    std::unique_ptr<wire::peer_dialer> dialer;
+};
+
+struct peer_links::accepted_peer
+{
+    // Empty until the hello.
+    base::member_id id;
+    std::unique_ptr<peer_session> session;
+};
+
+peer_links::peer_links(ev::loop_ref loop, link_options options,
+                       message_handler on_message, entry_handler on_entry)
+    : loop_(loop)
+    , options_(std::move(options))
+    , on_message_(std::move(on_message))
+    , on_entry_(std::move(on_entry))
+    , listener_(loop, options_.listen, [this](int descriptor) { on_accept(descriptor); })
+{}
+
+peer_links::~peer_links() = default;
+
+wire::hello_message peer_links::own_hello() const
+{
+    wire::hello_message hello;
+    hello.protocol = wire::protocol_version;
+    hello.sender = wire::role::control;
+    hello.id = options_.self.str();
+    hello.zone = options_.zone.str();
+    hello.incarnation = options_.incarnation.value();
+    return hello;
+}
+
+void peer_links::set_members(std::span<const member> members)
+{
+    const auto keeps = [&](const dialed_peer& peer) {
+        return std::any_of(members.begin(), members.end(), [&](const member& one) {
+            return one.id == peer.remote.id && one.address == peer.remote.address;
+        });
+    };
+    std::erase_if(dialed_, [&](const auto& one) { return !keeps(*one.second); });
+    for (const member& one : members) {
+        if (one.id != options_.self && !dialed_.contains(one.id)) {
+            dial(one);
+        }
+    }
+}
+
+void peer_links::dial(const member& remote)
+{
+    auto& peer = *(dialed_[remote.id] = std::make_unique<dialed_peer>());
+    peer.remote = remote;
+    peer.dialer = std::make_unique<wire::peer_dialer>(
+        loop_, remote.address,
+        [this, &peer] {
+            peer.confirmed = false;
+            peer.unanswered_since.reset();
+            peer.dialer->send(own_hello());
+        },
+        [this, &peer](const wire::envelope& message) { on_dialed_message(peer, message); },
+        [&peer](const std::string&) { peer.confirmed = false; });
+}
+
+void peer_links::on_dialed_message(dialed_peer& peer, const wire::envelope& message)
+{
+    peer.unanswered_since.reset();
+    if (const wire::hello* hello = message.body_as_hello()) {
+        const std::string id = hello->id() == nullptr ? "" : hello->id()->str();
+        peer.confirmed = hello->protocol() == wire::protocol_version &&
+                         hello->sender() == wire::role::control &&
+                         id == peer.remote.id.str();
+        if (!peer.confirmed) {
+            log_.warn("peer at " + peer.remote.address.str() + " is '" + id + "', not '" +
+                      peer.remote.id.str() + "'");
+        }
+        return;
+    }
+    const std::optional<message_body> body = from_envelope(message);
+    if (peer.confirmed && body && is_reply(*body)) {
+        on_message_(*body);
+    }
+}
+
+void peer_links::on_accept(int descriptor)
+{
+    auto& peer = *accepted_.emplace_back(std::make_unique<accepted_peer>());
+    peer.session = std::make_unique<peer_session>(loop_, descriptor);
+    peer.session->set_handlers(
+        [this, &peer](const wire::envelope& message) {
+            on_accepted_message(peer, message);
+        },
+        [this, &peer](const std::string&) { drop_accepted(&peer); });
+    peer.session->send(own_hello());
+}
+
+void peer_links::on_accepted_message(accepted_peer& peer, const wire::envelope& message)
+{
+    if (const wire::hello* hello = message.body_as_hello()) {
+        on_hello(peer, *hello);
+        return;
+    }
+    const std::optional<message_body> body = from_envelope(message);
+    if (peer.id.empty() || !body || is_reply(*body)) {
+        log_.warn("closed a connection whose peer sent an unexpected message");
+        drop_accepted(&peer);
+        return;
+    }
+    on_message_(*body);
+}
+
+void peer_links::on_hello(accepted_peer& peer, const wire::hello& hello)
+{
+    const bool has_id = hello.id() != nullptr && !hello.id()->str().empty();
+    if (!peer.id.empty() || !has_id || hello.protocol() != wire::protocol_version) {
+        log_.warn("closed a connection whose hello is not acceptable");
+        drop_accepted(&peer);
+        return;
+    }
+    if (hello.sender() == wire::role::entry) {
+        std::unique_ptr<peer_session> session = std::move(peer.session);
+        session->set_handlers({}, {});
+        drop_accepted(&peer);
+        if (on_entry_) {
+            on_entry_(std::move(session), hello);
+        }
+        return;
+    }
+    const base::member_id id(hello.id()->str());
+    // A new connection of the same member replaces one that has gone silent.
+    std::erase_if(accepted_, [&](const auto& other) { return other->id == id; });
+    peer.id = id;
+}
+
+void peer_links::drop_accepted(const accepted_peer* peer)
+{
+    std::erase_if(accepted_, [&](const auto& one) { return one.get() == peer; });
+}
+
+void peer_links::send(const outgoing_message& message)
+{
+    if (is_reply(message.body)) {
+        const auto found =
+            std::find_if(accepted_.begin(), accepted_.end(),
+                         [&](const auto& one) { return one->id == message.to; });
+        if (found != accepted_.end()) {
+            (*found)->session->send_frame(to_frame(message.body));
+        }
+        return;
+    }
+    const auto found = dialed_.find(message.to);
+    if (found == dialed_.end()) {
+        return;
+    }
+    dialed_peer& peer = *found->second;
+    reconnect_if_silent(peer);
+    if (!peer.confirmed || !peer.dialer->is_connected() ||
+        peer.dialer->queued_bytes() > max_queued_bytes) {
+        return;
+    }
+    if (!peer.unanswered_since) {
+        peer.unanswered_since = clock_.now();
+    }
+    peer.dialer->send_frame(to_frame(message.body));
+}
+
+void peer_links::reconnect_if_silent(dialed_peer& peer)
+{
+    if (peer.unanswered_since && clock_.now() - *peer.unanswered_since > silence_limit) {
+        log_.warn("member " + peer.remote.id.str() +
+                  " has stopped answering on its connection; connecting again");
+        peer.confirmed = false;
+        peer.unanswered_since.reset();
+        peer.dialer->reconnect();
+    }
+}
+
+} // namespace curranthoist::consensus
--- a/curranthoist/consensus/replica_host.hpp
+++ b/curranthoist/consensus/replica_host.hpp
@@ -90,7 +90,7 @@
     };
 
     void on_timer(ev::timer& watcher, int events);
-    void on_prepare(ev::timer& watcher, int events);
+    void on_wake(ev::timer& watcher, int events);
     void on_peer_message(const message_body& message);
     // Asks for one run of process() in this turn of the loop.
     void wake();
@@ -119,6 +119,8 @@
     base::log_index snapshot_at_;
     membership dialed_;
     bool leads_ = false;
+    base::term leads_in_;
+    base::term proposals_term_;
     bool failed_ = false;
     std::uint64_t next_token_ = 0;
     std::map<base::log_index, pending_proposal> proposals_;
--- a/curranthoist/consensus/replica_options.hpp
+++ b/curranthoist/consensus/replica_options.hpp
@@ -20,6 +20,8 @@
     std::size_t max_chunk_bytes = std::size_t{256} * 1024;
     // Append requests with entries that one follower has not yet acknowledged.
     std::size_t max_in_flight = 16;
+    // A longer command is refused; it must fit into one frame of the wire protocol.
+    std::size_t max_command_bytes = std::size_t{8} * 1024 * 1024;
     // Uncommitted bytes above which the leader takes no more proposals.
     std::size_t max_uncommitted_bytes = std::size_t{64} * 1024 * 1024;
     // Entries kept in memory behind a log snapshot, so that a follower which is slightly
--- a/curranthoist/consensus/replica_status.hpp
+++ b/curranthoist/consensus/replica_status.hpp
@@ -45,6 +45,8 @@
     base::log_index last_index;
     base::log_index snapshot_index;
     membership members;
+    // Index of the entry that holds `members`; in progress while above commit_index.
+    base::log_index membership_index;
     // On the leader only.
     std::vector<member_progress> progress;
     // On the leader only: the last replacement, if any.
--- /dev/null
+++ b/curranthoist/consensus/replica_test.cpp
@@ -0,0 +1,244 @@
+#include "curranthoist/consensus/replica_schedule_fixture_test.hpp"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+namespace curranthoist::consensus {
+namespace {
+
+using namespace base::literals;
+using testing_support::schedule_checker;
+
+struct commit_old_terms_by_count : replica_rules
+{
+    static constexpr bool commit_own_term_only = false;
+};
+
+base::member_id id(int number)
+{
+    return base::member_id(std::to_string(number));
+}
+
+// Replicas 1 to `count` with disks that sync at once; the test chooses the messages that
+// arrive.
+template <class Rules>
+class replica_group
+{
+public:
+    using filter = std::function<bool(int from, int to, const message_body&)>;
+
+    explicit replica_group(int count)
+    {
+        options_.max_append_entries = 1;
+        std::vector<member> initial;
+        for (int i = 1; i <= count; ++i) {
+            initial.push_back({id(i), {"127.0.0.1", 1}, member_role::voter});
+        }
+        for (int i = 1; i <= count; ++i) {
+            storage::recovered_log state;
+            state.identity = id(i);
+            state.vote.term = base::term(1);
+            state.entries = {first_log_entry(membership(initial))};
+            replicas_.emplace_back(state, options_, i, now_);
+        }
+    }
+
+    basic_replica<Rules>& at(int number)
+    {
+        return replicas_[static_cast<std::size_t>(number - 1)];
+    }
+    [[nodiscard]] const schedule_checker& checker() const { return checker_; }
+    // Delivers the messages under way that pass the filter until none is left, and then
+    // drops the others.
+    void deliver(const filter& passes)
+    {
+        constexpr int max_deliveries = 1000;
+        for (int i = 0; i < max_deliveries; ++i) {
+            const auto next =
+                std::find_if(network_.begin(), network_.end(), [&](const transit& one) {
+                    return passes(one.from, one.to, one.body);
+                });
+            if (next == network_.end()) {
+                break;
+            }
+            const transit chosen = *next;
+            network_.erase(next);
+            at(chosen.to).on_message(chosen.body, now_);
+            collect(chosen.to);
+        }
+        network_.clear();
+    }
+    // Makes a member start an election, as a leader's transfer does.
+    void start_election(int number)
+    {
+        vote_request demand;
+        demand.term = at(number).current_term();
+        demand.candidate = id(number);
+        at(number).on_message(demand, now_);
+        collect(number);
+    }
+    void collect(int number)
+    {
+        basic_replica<Rules>& replica = at(number);
+        while (true) {
+            replica_output output = replica.take_output(now_);
+            for (outgoing_message& message : output.messages) {
+                network_.push_back(
+                    {number, std::stoi(message.to.str()), std::move(message.body)});
+            }
+            for (const storage::log_entry& entry : output.committed) {
+                checker_.committed(id(number), entry);
+            }
+            if (output.writes.empty()) {
+                return;
+            }
+            replica.on_disk_done(output.writes.back().number, now_);
+        }
+    }
+    void advance(base::duration by)
+    {
+        now_ = now_ + by;
+        for (int i = 1; i <= static_cast<int>(replicas_.size()); ++i) {
+            at(i).on_time(now_);
+            collect(i);
+        }
+    }
+
+private:
+    struct transit
+    {
+        int from;
+        int to;
+        message_body body;
+    };
+
+    replica_options options_;
+    base::instant now_{1000};
+    schedule_checker checker_;
+    std::deque<basic_replica<Rules>> replicas_;
+    std::deque<transit> network_;
+};
+
+bool is_vote(const message_body& body)
+{
+    return std::holds_alternative<vote_request>(body) ||
+           std::holds_alternative<vote_reply>(body);
+}
+
+// An entry of term 2 that reaches a majority only in term 4, while member 5 holds an entry
+// of term 3 at the same index and can still be elected. Returns the checker's violation.
+template <class Rules>
+std::string commit_across_terms()
+{
+    replica_group<Rules> group(5);
+    group.start_election(1);
+    group.deliver([](int, int, const message_body& body) { return is_vote(body); });
+    EXPECT_TRUE(group.at(1).is_leader());
+    group.advance(100_ms);
+    group.deliver([](int from, int to, const message_body&) { return from + to == 3; });
+
+    group.start_election(5);
+    group.deliver([](int from, int to, const message_body& body) {
+        return is_vote(body) && from != 2 && to != 2;
+    });
+    EXPECT_TRUE(group.at(5).is_leader());
+    EXPECT_FALSE(group.at(1).is_leader());
+
+    group.start_election(1);
+    group.deliver([](int, int, const message_body& body) { return is_vote(body); });
+    EXPECT_TRUE(group.at(1).is_leader());
+    group.advance(100_ms);
+    group.deliver([](int from, int to, const message_body& body) {
+        const auto* request = std::get_if<append_request>(&body);
+        const bool new_entry = request != nullptr && !request->entries.empty() &&
+                               request->entries.front().index > base::log_index(2);
+        return from <= 3 && to <= 3 && !new_entry;
+    });
+
+    group.start_election(5);
+    group.deliver([](int from, int to, const message_body& body) {
+        return is_vote(body) && from != 1 && to != 1;
+    });
+    EXPECT_TRUE(group.at(5).is_leader());
+    group.advance(100_ms);
+    group.deliver([](int from, int to, const message_body&) {
+        return from != 1 && to != 1;
+    });
+    EXPECT_GE(group.at(5).commit_index(), base::log_index(2));
+    return group.checker().violation();
+}
+
+TEST(replica_test, entry_of_an_earlier_term_is_not_committed_by_counting)
+{
+    EXPECT_EQ(commit_across_terms<replica_rules>(), "");
+}
+
+TEST(replica_test, check_detects_entries_of_earlier_terms_committed_by_counting)
+{
+    EXPECT_EQ(commit_across_terms<commit_old_terms_by_count>().substr(0, 10),
+              "two values");
+}
+
+// Guards against a member that comes back from a partition and ends a working leader's term.
+TEST(replica_test, cut_off_member_does_not_disturb_the_leader)
+{
+    replica_group<replica_rules> group(3);
+    group.start_election(1);
+    const auto connected = [](int from, int to, const message_body&) {
+        return from != 3 && to != 3;
+    };
+    for (int i = 0; i < 30; ++i) {
+        group.advance(100_ms);
+        group.deliver(connected);
+    }
+    const base::term before = group.at(1).current_term();
+    for (int i = 0; i < 10; ++i) {
+        group.advance(100_ms);
+        group.deliver([](int, int, const message_body&) { return true; });
+    }
+    EXPECT_TRUE(group.at(1).is_leader());
+    EXPECT_EQ(group.at(1).current_term(), before);
+    EXPECT_EQ(group.at(3).commit_index(), group.at(1).commit_index());
+}
+
+// Guards against a leader that keeps leading, and granting, without a quorum.
+TEST(replica_test, leader_without_a_quorum_steps_down)
+{
+    replica_group<replica_rules> group(3);
+    group.start_election(1);
+    group.deliver([](int, int, const message_body&) { return true; });
+    ASSERT_TRUE(group.at(1).is_ready());
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_TRUE(group.at(1).is_leader());
+        group.advance(100_ms);
+        group.deliver([](int, int, const message_body&) { return false; });
+    }
+    EXPECT_FALSE(group.at(1).is_leader());
+}
+
+// Guards against two disjoint quorums while one member replaces another.
+TEST(replica_test, replacement_needs_quorums_of_old_and_new_voters)
+{
+    const base::endpoint address{"127.0.0.1", 1};
+    const membership old({{id(1), address, member_role::voter},
+                          {id(2), address, member_role::voter},
+                          {id(3), address, member_role::voter},
+                          {id(4), address, member_role::learner}});
+    using kind = membership_change::change_kind;
+    const membership joint = old.changed({kind::promote, id(4), {}, id(1)});
+    const auto quorum_of = [&](int a, int b) {
+        return joint.has_quorum(
+            [&](const base::member_id& one) { return one == id(a) || one == id(b); });
+    };
+    EXPECT_TRUE(quorum_of(2, 3));
+    EXPECT_FALSE(quorum_of(1, 2));
+    EXPECT_FALSE(quorum_of(3, 4));
+    const membership after = joint.without_leaving();
+    EXPECT_EQ(after.find(id(1)), nullptr);
+    EXPECT_EQ(membership::decode(after.encode()), after);
+    EXPECT_NE(joint.refusal({kind::remove, id(2), {}, {}}), "");
+}
+
+} // namespace
+} // namespace curranthoist::consensus
