--- a/curranthoist/entry/control_session.cpp
+++ b/curranthoist/entry/control_session.cpp
@@ -55,10 +55,27 @@
 void control_session::release(const wire::released_target_message& released)
 {
     facts_.remove(base::target_id(released.target));
-    released_[base::target_id(released.target)] = released;
+    released_[base::target_id(released.target)] = {released, 0, std::nullopt};
     heartbeat_due_ = clock_.now();
 }
 
+bool control_session::release_is_known(const base::target_id& target) const
+{
+    const auto found = released_.find(target);
+    return found != released_.end() && found->second.answered &&
+           clock_.now() >= *found->second.answered + release_settled;
+}
+
+void control_session::note_answered_releases(std::uint64_t sequence)
+{
+    for (auto& [target, released] : released_) {
+        if (!released.answered && released.carried_by != 0 &&
+            released.carried_by <= sequence) {
+            released.answered = clock_.now();
+        }
+    }
+}
+
 bool control_session::claim(wire::claim_request_message request, claim_callback callback)
 {
     if (!dialer_ || !dialer_->is_connected() || leaving_) {
@@ -108,6 +125,11 @@
     lease_.on_session_opened();
     facts_.send_all();
     roster_sequence_ = 0;
+    // Another leader must learn of the releases itself.
+    for (auto& [target, released] : released_) {
+        released.carried_by = 0;
+        released.answered.reset();
+    }
     dialer_->send(hello_of(identity_));
     send_heartbeat();
 }
@@ -155,9 +177,11 @@
     message.applied_revision = configuration_.number.value();
     message.roster_sequence = roster_sequence_;
     message.stopping = stopping_;
-    for (const auto& [target, released] : released_) {
+    for (auto& [target, released] : released_) {
         message.released.push_back(
-            std::make_unique<wire::released_target_message>(released));
+            std::make_unique<wire::released_target_message>(released.message));
+        released.carried_by = released.carried_by != 0 ? released.carried_by
+                                                       : message.sequence;
     }
     facts_.fill(message);
     dialer_->send(std::move(message));
@@ -218,6 +242,7 @@
         return;
     }
     facts_.on_answered(message.sequence());
+    note_answered_releases(message.sequence());
     if (message.need_full_facts()) {
         facts_.send_all();
     }
@@ -265,7 +290,7 @@
     std::erase_if(released_, [this](const auto& entry) {
         const auto found = configuration_.assignments.find(entry.first);
         return found == configuration_.assignments.end() ||
-               found->second.number.value() != entry.second.fence;
+               found->second.number.value() != entry.second.message.fence;
     });
 }
 
--- a/curranthoist/entry/control_session.hpp
+++ b/curranthoist/entry/control_session.hpp
@@ -42,6 +42,8 @@
     static constexpr base::duration answer_limit{1000};
     // An address that is not connected after this time is passed over.
     static constexpr base::duration connect_limit{300};
+    // How long a successor for a released target may take.
+    static constexpr base::duration release_settled{1000};
 
     struct handlers
     {
@@ -80,6 +82,10 @@
     // A target that was given up; reported until the configuration shows another owner.
     void release(const wire::released_target_message& released);
 
+    // True if the leader has known for release_settled that this target was given up. The
+    // last VM that stops has no successor, so its assignments never go away.
+    [[nodiscard]] bool release_is_known(const base::target_id& target) const;
+
     // Claims a request id. Returns false if there is no session with a control process;
     // then nothing was asked. Otherwise the callback is called once, later.
     bool claim(wire::claim_request_message request, claim_callback callback);
@@ -93,6 +99,16 @@
     }
 
 private:
+    struct release_entry
+    {
+        wire::released_target_message message;
+        // The first heartbeat of this session that reported it; 0 for none.
+        std::uint64_t carried_by = 0;
+        // When the leader answered that heartbeat.
+        std::optional<base::instant> answered;
+    };
+
+    void note_answered_releases(std::uint64_t sequence);
     void dial(const base::endpoint& address);
     void dial_next();
     void on_connect();
@@ -127,7 +143,7 @@
     vm_lease lease_;
     fact_outbox facts_;
     claim_ledger claims_;
-    std::map<base::target_id, wire::released_target_message> released_;
+    std::map<base::target_id, release_entry> released_;
     bool stopping_ = false;
     control::configuration configuration_;
     std::uint64_t roster_sequence_ = 0;
--- a/curranthoist/entry/entry_process.cpp
+++ b/curranthoist/entry/entry_process.cpp
@@ -149,7 +149,8 @@
     const auto& assignments = control_.configuration().assignments;
     const auto owned =
         std::count_if(assignments.begin(), assignments.end(), [this](const auto& entry) {
-            return entry.second.owner == settings_.vm;
+            return entry.second.owner == settings_.vm &&
+                   !control_.release_is_known(entry.first);
         });
     return static_cast<std::size_t>(owned) + own_.running() +
            relay_server_.queued_bytes();
@@ -163,7 +164,6 @@
     case stop_phase::leaving:
         log_.info("stopping: /ready says 503, requests are served for " +
                   std::to_string(settings_.balancer_delay.count()) + " ms more");
-        control_.set_stopping();
         break;
     case stop_phase::finishing:
         log_.info("stopping: new requests are refused");
@@ -171,7 +171,8 @@
     case stop_phase::releasing:
         log_.info("stopping: requests are finished, releasing targets");
         callers_.stop_accepting();
-        own_.release_all();
+        // The leader answers with a configuration that releases every target of this VM.
+        control_.set_stopping();
         break;
     case stop_phase::finished:
         log_.info("stopped");
--- a/curranthoist/entry/part_server.cpp
+++ b/curranthoist/entry/part_server.cpp
@@ -69,7 +69,7 @@
         else {
             found->second->set_limits(spec->second);
         }
-        if (given.phase == control::assignment_phase::releasing || stopping_) {
+        if (given.phase == control::assignment_phase::releasing) {
             tasks_.at(id)->release();
         }
     }
@@ -129,14 +129,6 @@
     }
 }
 
-void part_server::release_all()
-{
-    stopping_ = true;
-    for (const auto& [id, task] : tasks_) {
-        task->release();
-    }
-}
-
 void part_server::serve_parts(const base::vm_id& coordinator,
                               const wire::parts_request_message& request,
                               const part_reply_handler& reply)
--- a/curranthoist/entry/part_server.hpp
+++ b/curranthoist/entry/part_server.hpp
@@ -41,8 +41,6 @@
     // Takes and gives up targets as the assignments in force say.
     void apply(const control::configuration& configuration);
     void set_lease_end(base::instant end);
-    // Gives up every target, for a stop; targets that are assigned later are not taken.
-    void release_all();
 
     // Runs the parts; one reply each, but none for a cancelled part.
     void serve_parts(const base::vm_id& coordinator,
@@ -84,7 +82,6 @@
     base::monotonic_clock clock_;
     base::logger log_{"ownership"};
     base::instant lease_end_;
-    bool stopping_ = false;
     std::map<base::target_id, std::unique_ptr<target_task>> tasks_;
     std::map<part_key, ticket> running_;
 };
