--- a/curranthoist/routing/replica_choice.cpp
+++ b/curranthoist/routing/replica_choice.cpp
@@ -21,13 +21,13 @@
 std::size_t power_of_two::choose(std::span<const candidate> candidates, base::instant now,
                                  base::random_source& random) const
 {
-    const auto starved =
-        std::find_if(candidates.begin(), candidates.end(), [&](const candidate& option) {
-            return option.load.outstanding == 0 &&
-                   now - option.load.last_sent >= probe_interval;
+    const auto longest_unused = std::min_element(
+        candidates.begin(), candidates.end(), [](const candidate& a, const candidate& b) {
+            return a.load.last_sent < b.load.last_sent;
         });
-    if (starved != candidates.end()) {
-        return static_cast<std::size_t>(starved - candidates.begin());
+    if (longest_unused->load.outstanding == 0 &&
+        now - longest_unused->load.last_sent >= probe_interval) {
+        return static_cast<std::size_t>(longest_unused - candidates.begin());
     }
     const std::size_t first = random.below(candidates.size());
     if (candidates.size() == 1) {
--- a/curranthoist/routing/replica_choice_test.cpp
+++ b/curranthoist/routing/replica_choice_test.cpp
@@ -58,6 +58,8 @@
     EXPECT_EQ(counts(power_of_two())[0], 0);
     candidates[0].load.last_sent = now - 2_s;
     EXPECT_EQ(counts(power_of_two())[0], 1000);
+    candidates[1].load.last_sent = now - 3_s;
+    EXPECT_EQ(counts(power_of_two())[0], 0) << "the longest unused first";
     candidates[0].load.outstanding = 1;
     EXPECT_EQ(counts(power_of_two())[0], 0) << "one at a time";
 }
