--- a/curranthoist/routing/replica_choice.hpp
+++ b/curranthoist/routing/replica_choice.hpp
@@ -28,8 +28,9 @@
 };
 
 // The chosen policy: of two random replicas the one with the lower load times service
-// time. A cold replica that got nothing for `probe_interval` goes first, because only
-// results warm it: with ten VMs that offers it the first pace of 5/s.
+// time. The longest unused one goes first if it got nothing for `probe_interval`, because
+// only results warm a cold replica or show that a slow one has recovered: with ten VMs
+// that offers it the first pace of 5/s.
 class power_of_two
 {
 public:
