--- a/curranthoist/testing/child_process.cpp
+++ b/curranthoist/testing/child_process.cpp
@@ -12,8 +12,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace curranthoist::testing {
 
 namespace {
--- a/curranthoist/testing/load_generator.cpp
+++ b/curranthoist/testing/load_generator.cpp
@@ -30,9 +30,11 @@
     , ready_timer_(loop)
 {
     for (const base::endpoint& address : settings_.entries) {
-        entries_.push_back({std::make_unique<http::target_client>(
-                                loop, address, settings_.connections_per_entry),
-                            std::make_unique<http::target_client>(loop, address, 1)});
+        entry added;
+        added.client = std::make_unique<http::target_client>(
+            loop, address, settings_.connections_per_entry);
+        added.ready_client = std::make_unique<http::target_client>(loop, address, 1);
+        entries_.push_back(std::move(added));
     }
     next_us_ = draw_gap_us();
     send_timer_.set<load_generator, &load_generator::on_send_timer>(this);
