--- a/curranthoist/consensus/follower_progress.hpp
+++ b/curranthoist/consensus/follower_progress.hpp
@@ -14,8 +14,8 @@
 // What the leader knows about one follower's log and what is under way to it.
 //
 // While probing, one request at a time looks for the point where the logs agree; then
-// requests are pipelined up to a limit. A rejected request, which also follows a lost one,
-// returns to probing.
+// requests are pipelined up to a limit. A rejected request, which also follows a lost
+// one, returns to probing.
 class follower_progress
 {
 public:
--- a/curranthoist/consensus/internal/replica_election.hpp
+++ b/curranthoist/consensus/internal/replica_election.hpp
@@ -158,7 +158,8 @@
         become_follower(request.term, {}, now);
     }
     // The membership of this member's own log decides whether it is a voter. It need not
-    // know that the entry is committed: a candidate counts only the voters of its own log.
+    // know that the entry is committed: a candidate counts only the voters of its own
+    // log.
     reply.granted = is_voter() && request.term == term_ && log_is_current(request) &&
                     (voted_for_.empty() || voted_for_ == request.candidate);
     reply.term = term_;
@@ -182,8 +183,9 @@
         return;
     }
     const bool expected =
-        reply.pre_vote ? role_ == replica_role::pre_candidate && reply.term == term_.next()
-                       : role_ == replica_role::candidate && reply.term == term_;
+        reply.pre_vote
+            ? role_ == replica_role::pre_candidate && reply.term == term_.next()
+            : role_ == replica_role::candidate && reply.term == term_;
     if (expected) {
         votes_.insert(reply.voter);
         count_votes(now);
--- a/curranthoist/consensus/internal/replica_follower.hpp
+++ b/curranthoist/consensus/internal/replica_follower.hpp
@@ -122,8 +122,7 @@
     reply.match_index = log_.last_index();
     if (request.previous_index <= log_.last_index()) {
         const base::log_index first = log_.first_of_term(request.previous_index);
-        reply.match_index =
-            std::max(commit_index_, base::log_index(first.value() - 1));
+        reply.match_index = std::max(commit_index_, base::log_index(first.value() - 1));
     }
     send_after_sync(request.leader, reply);
 }
@@ -131,7 +130,8 @@
 template <class Rules>
 void basic_replica<Rules>::handle(const snapshot_chunk& chunk, base::instant now)
 {
-    if (chunk.total > options_.max_snapshot_bytes || !internal::is_membership(chunk.membership)) {
+    if (chunk.total > options_.max_snapshot_bytes ||
+        !internal::is_membership(chunk.membership)) {
         return;
     }
     snapshot_reply reply;
@@ -185,7 +185,8 @@
 template <class Rules>
 void basic_replica<Rules>::install_snapshot()
 {
-    snapshot_ = std::make_shared<const storage::log_snapshot>(std::move(incoming_->value));
+    snapshot_ =
+        std::make_shared<const storage::log_snapshot>(std::move(incoming_->value));
     incoming_.reset();
     log_.reset(snapshot_->index, snapshot_->term);
     memberships_.reset(snapshot_->index, membership::decode(snapshot_->membership));
--- a/curranthoist/consensus/internal/replica_host.hpp
+++ b/curranthoist/consensus/internal/replica_host.hpp
@@ -37,8 +37,7 @@
     , options_(internal::with_default_failure(std::move(options)))
     , replica_(store.take_recovered(), options_.replica, options_.seed, clock_.now())
     , links_(
-          loop,
-          {replica_.self(), options_.zone, options_.incarnation, options_.listen},
+          loop, {replica_.self(), options_.zone, options_.incarnation, options_.listen},
           [this](const message_body& message) { on_peer_message(message); },
           std::move(on_entry))
     , timer_(loop)
@@ -53,8 +52,7 @@
 void replica_host<Machine, Disk>::propose(std::vector<std::uint8_t> command,
                                           proposal_callback callback)
 {
-    const auto position =
-        failed_ ? std::nullopt : replica_.propose(std::move(command));
+    const auto position = failed_ ? std::nullopt : replica_.propose(std::move(command));
     if (position) {
         proposals_[position->index] = {position->term, std::move(callback)};
     }
@@ -75,7 +73,8 @@
 }
 
 template <state_machine Machine, class Disk>
-std::string replica_host<Machine, Disk>::change_membership(const membership_change& change)
+std::string
+replica_host<Machine, Disk>::change_membership(const membership_change& change)
 {
     std::string reason = replica_.propose_change(change);
     wake();
--- a/curranthoist/consensus/internal/replica_leader.hpp
+++ b/curranthoist/consensus/internal/replica_leader.hpp
@@ -13,7 +13,8 @@
 auto basic_replica<Rules>::propose(std::vector<std::uint8_t> command)
     -> std::optional<log_position>
 {
-    if (!is_leader() || is_transferring() || command.size() > options_.max_command_bytes ||
+    if (!is_leader() || is_transferring() ||
+        command.size() > options_.max_command_bytes ||
         uncommitted_bytes_ + command.size() > options_.max_uncommitted_bytes) {
         return std::nullopt;
     }
@@ -94,9 +95,8 @@
 template <class Rules>
 void basic_replica<Rules>::sync_progress(base::instant now)
 {
-    std::erase_if(progress_, [&](const auto& one) {
-        return members().find(one.first) == nullptr;
-    });
+    std::erase_if(progress_,
+                  [&](const auto& one) { return members().find(one.first) == nullptr; });
     for (const member& one : members().members()) {
         if (one.id != self_) {
             progress_.try_emplace(one.id, log_.last_index().next(), now);
@@ -125,8 +125,8 @@
 template <class Rules>
 void basic_replica<Rules>::advance_commit()
 {
-    const base::log_index reached = members().quorum_index(
-        [&](const base::member_id& id) { return match_of(id); });
+    const base::log_index reached =
+        members().quorum_index([&](const base::member_id& id) { return match_of(id); });
     const bool may_commit =
         !Rules::commit_own_term_only || log_.term_at(reached) == term_;
     if (reached > commit_index_ && may_commit) {
@@ -164,8 +164,8 @@
     if (!repair_ || repair_->replacement != committed.replacement()) {
         repair_ = {committed.replaced(), committed.replacement(), commit_index_, false};
     }
-    repair_->finished = repair_->finished ||
-                        match_of(repair_->replacement) >= repair_->required_match;
+    repair_->finished =
+        repair_->finished || match_of(repair_->replacement) >= repair_->required_match;
 }
 
 template <class Rules>
@@ -297,7 +297,8 @@
     while (from <= log_.last_index() && progress.may_send(options_.max_in_flight)) {
         append_request request = empty_append();
         request.previous_index = base::log_index(from.value() - 1);
-        request.previous_term = log_.term_at(request.previous_index).value_or(base::term());
+        request.previous_term =
+            log_.term_at(request.previous_index).value_or(base::term());
         request.entries =
             log_.slice(from, options_.max_append_entries, options_.max_append_bytes);
         from = request.entries.back().index.next();
@@ -311,11 +312,12 @@
                                           const follower_progress& progress)
 {
     append_request request = empty_append();
-    // With the last entry sent as the previous one, a heartbeat also detects lost requests.
-    // During a log snapshot there is none; index 0 is in every log.
+    // With the last entry sent as the previous one, a heartbeat also detects lost
+    // requests. During a log snapshot there is none; index 0 is in every log.
     if (!progress.snapshot()) {
         request.previous_index = base::log_index(progress.next().value() - 1);
-        request.previous_term = log_.term_at(request.previous_index).value_or(base::term());
+        request.previous_term =
+            log_.term_at(request.previous_index).value_or(base::term());
     }
     send_now(id, std::move(request));
 }
--- a/curranthoist/consensus/log_view.hpp
+++ b/curranthoist/consensus/log_view.hpp
@@ -23,8 +23,8 @@
     [[nodiscard]] std::optional<base::term> term_at(base::log_index index) const;
     // The entry at `index`, which must be in (base_index(), last_index()].
     [[nodiscard]] const storage::log_entry& at(base::log_index index) const;
-    // The lowest index in (base_index(), `index`] from which on all terms equal the one at
-    // `index`.
+    // The lowest index in (base_index(), `index`] from which on all terms equal the one
+    // at `index`.
     [[nodiscard]] base::log_index first_of_term(base::log_index index) const;
     // Copies entries from `from` on, at least one if there is one, until either limit.
     [[nodiscard]] std::vector<storage::log_entry>
--- a/curranthoist/consensus/membership.cpp
+++ b/curranthoist/consensus/membership.cpp
@@ -129,9 +129,8 @@
         return "";
     }
     const std::vector<base::member_id> all = voters();
-    return all.size() == 1 && all.front() == change.id
-               ? "the last voter can't be removed"
-               : "";
+    return all.size() == 1 && all.front() == change.id ? "the last voter can't be removed"
+                                                       : "";
 }
 
 membership membership::changed(const membership_change& change) const
--- a/curranthoist/consensus/membership.hpp
+++ b/curranthoist/consensus/membership.hpp
@@ -15,8 +15,8 @@
 //
 // Adding or removing one voter keeps every old quorum and every new quorum overlapping.
 // A replacement does not (quorums {a, b} of {a, b, c} and {c, d} of {b, c, d} are
-// disjoint), so it passes through a joint membership that needs a quorum of the old voters
-// and one of the new voters.
+// disjoint), so it passes through a joint membership that needs a quorum of the old
+// voters and one of the new voters.
 class membership
 {
 public:
@@ -30,8 +30,8 @@
     [[nodiscard]] bool is_voter(const base::member_id& id) const;
     // True while a replacement is under way.
     [[nodiscard]] bool is_joint() const { return !outgoing_.empty(); }
-    // True if the members for which `agrees` is true form a quorum (in a joint membership:
-    // of the old and of the new voters). False without voters.
+    // True if the members for which `agrees` is true form a quorum (in a joint
+    // membership: of the old and of the new voters). False without voters.
     [[nodiscard]] bool
     has_quorum(const std::function<bool(const base::member_id&)>& agrees) const;
     // The highest index that a quorum has reached.
@@ -40,8 +40,8 @@
 
     // Why `change` can't be made to this membership; empty if it can.
     [[nodiscard]] std::string refusal(const membership_change& change) const;
-    // The membership after `change`, for which refusal() must be empty. It is joint after a
-    // promotion with a replaced member.
+    // The membership after `change`, for which refusal() must be empty. It is joint after
+    // a promotion with a replaced member.
     [[nodiscard]] membership changed(const membership_change& change) const;
     // The membership that ends a joint one: the leaving member is dropped.
     [[nodiscard]] membership without_leaving() const;
--- a/curranthoist/consensus/membership_change.hpp
+++ b/curranthoist/consensus/membership_change.hpp
@@ -13,10 +13,10 @@
     {
         // Adds `id` at `address` as a learner.
         add_learner,
-        // Makes the learner `id` a voter. If `replaced` is not empty, that voter leaves in
-        // the same change. The new voter votes once the change is in its own log: until its
-        // match index has reached the change, the quorum of an enlarged membership may not
-        // survive the loss of another voter.
+        // Makes the learner `id` a voter. If `replaced` is not empty, that voter leaves
+        // in the same change. The new voter votes once the change is in its own log:
+        // until its match index has reached the change, the quorum of an enlarged
+        // membership may not survive the loss of another voter.
         promote,
         // Removes the voter or learner `id`.
         remove,
--- a/curranthoist/consensus/membership_history.cpp
+++ b/curranthoist/consensus/membership_history.cpp
@@ -7,9 +7,8 @@
 
 const membership& membership_history::at(base::log_index index) const
 {
-    const auto after =
-        std::find_if(changes_.begin(), changes_.end(),
-                     [&](const change& one) { return one.index > index; });
+    const auto after = std::find_if(changes_.begin(), changes_.end(),
+                                    [&](const change& one) { return one.index > index; });
     return after == changes_.begin() ? changes_.front().value : std::prev(after)->value;
 }
 
--- a/curranthoist/consensus/messages.hpp
+++ b/curranthoist/consensus/messages.hpp
@@ -12,7 +12,8 @@
 // The messages between members; wire_codec converts them to and from wire messages.
 
 // Asks for a vote in `term`, or with pre_vote whether one would be given. A request that
-// names its receiver as the candidate is the leader's demand to start an election at once.
+// names its receiver as the candidate is the leader's demand to start an election at
+// once.
 struct vote_request
 {
     bool pre_vote = false;
--- a/curranthoist/consensus/peer_links.cpp
+++ b/curranthoist/consensus/peer_links.cpp
@@ -72,7 +72,9 @@
             peer.unanswered_since.reset();
             peer.dialer->send(own_hello());
         },
-        [this, &peer](const wire::envelope& message) { on_dialed_message(peer, message); },
+        [this, &peer](const wire::envelope& message) {
+            on_dialed_message(peer, message);
+        },
         [&peer](const std::string&) { peer.confirmed = false; });
 }
 
--- a/curranthoist/consensus/read_queue.hpp
+++ b/curranthoist/consensus/read_queue.hpp
@@ -19,8 +19,8 @@
     [[nodiscard]] std::uint64_t last_round() const;
     // The lowest round that a read waits for; 0 if none waits.
     [[nodiscard]] std::uint64_t first_round() const;
-    // Moves the reads of rounds up to `round` to `results`; none of their indexes is below
-    // `minimum`.
+    // Moves the reads of rounds up to `round` to `results`; none of their indexes is
+    // below `minimum`.
     void confirm_through(std::uint64_t round, base::log_index minimum,
                          std::vector<read_result>& results);
     // Moves all reads to `results` as not confirmed.
--- a/curranthoist/consensus/replica.hpp
+++ b/curranthoist/consensus/replica.hpp
@@ -54,32 +54,32 @@
     // All writes up to and including `number` are synced.
     void on_disk_done(std::uint64_t number, base::instant now);
 
-    // Appends a command on the leader and returns its index and term by way of the entry's
-    // position; nothing if this is not the leader, is handing over its leadership, or has
-    // too many uncommitted bytes. The command is committed only when take_output() returns
-    // an entry of that index and term.
+    // Appends a command on the leader and returns its index and term by way of the
+    // entry's position; nothing if this is not the leader, is handing over its
+    // leadership, or has too many uncommitted bytes. The command is committed only when
+    // take_output() returns an entry of that index and term.
     struct log_position
     {
         base::log_index index;
         base::term term;
     };
     std::optional<log_position> propose(std::vector<std::uint8_t> command);
-    // Appends a membership change on the leader. Returns why it can't be made, or an empty
-    // text. Only one change is in progress at a time.
+    // Appends a membership change on the leader. Returns why it can't be made, or an
+    // empty text. Only one change is in progress at a time.
     std::string propose_change(const membership_change& change);
     // Asks for confirmation that this is still the leader, by a quorum round that starts
     // after this call. The result with `token` comes with take_output().
     void confirm_read(std::uint64_t token);
-    // Hands leadership to the voter with the longest log; proposals are refused meanwhile.
-    // Returns false if this is not the leader or there is no other voter.
+    // Hands leadership to the voter with the longest log; proposals are refused
+    // meanwhile. Returns false if this is not the leader or there is no other voter.
     bool transfer_leadership(base::instant now);
-    // Drops the log up to a log snapshot of the applied state and stores the snapshot. Its
-    // index must have been returned as committed. Fill it with make_snapshot().
+    // Drops the log up to a log snapshot of the applied state and stores the snapshot.
+    // Its index must have been returned as committed. Fill it with make_snapshot().
     void compact(std::shared_ptr<const storage::log_snapshot> snapshot);
     // A log snapshot of the state `data` after the entry at `index`, which must be
     // committed and after the last log snapshot.
-    [[nodiscard]] storage::log_snapshot make_snapshot(base::log_index index,
-                                                      std::vector<std::uint8_t> data) const;
+    [[nodiscard]] storage::log_snapshot
+    make_snapshot(base::log_index index, std::vector<std::uint8_t> data) const;
 
     // Everything to be done since the last call. Sends what is new to followers, so call
     // it once after a batch of inputs.
@@ -167,8 +167,8 @@
     void settle_reads();
 
     // The log and its writes (internal/replica_log.hpp).
-    std::uint64_t add_write(
-        std::variant<storage::vote_record, append_write, snapshot_write> content);
+    std::uint64_t
+    add_write(std::variant<storage::vote_record, append_write, snapshot_write> content);
     void write_vote();
     void write_new_entries();
     void add_entry(storage::log_entry entry);
--- a/curranthoist/consensus/replica_host.hpp
+++ b/curranthoist/consensus/replica_host.hpp
@@ -47,8 +47,8 @@
 {
 public:
     using proposal_callback = std::function<void(proposal_outcome, base::log_index)>;
-    // True if leadership was confirmed by a quorum round that began after the request, and
-    // every command acknowledged before it has been applied here.
+    // True if leadership was confirmed by a quorum round that began after the request,
+    // and every command acknowledged before it has been applied here.
     using read_callback = std::function<void(bool confirmed)>;
     using leadership_handler = std::function<void(bool is_leader)>;
 
@@ -67,8 +67,8 @@
     std::string change_membership(const membership_change& change);
     // Hands over leadership before a planned stop; false if there is nobody to take it.
     bool transfer_leadership();
-    // Called after this member became ready to lead (all earlier commands are applied), and
-    // after it lost leadership.
+    // Called after this member became ready to lead (all earlier commands are applied),
+    // and after it lost leadership.
     void set_leadership_handler(leadership_handler handler);
 
     // True from the moment that the leadership handler reports.
--- a/curranthoist/consensus/wire_codec.cpp
+++ b/curranthoist/consensus/wire_codec.cpp
@@ -150,10 +150,9 @@
 std::optional<message_body> from_envelope(const wire::envelope& envelope)
 {
     if (const auto* request = envelope.body_as_vote_request()) {
-        return vote_request{request->pre_vote(), base::term(request->term()),
-                            id_of(request->candidate()),
-                            base::log_index(request->last_index()),
-                            base::term(request->last_term())};
+        return vote_request{
+            request->pre_vote(), base::term(request->term()), id_of(request->candidate()),
+            base::log_index(request->last_index()), base::term(request->last_term())};
     }
     if (const auto* reply = envelope.body_as_vote_reply()) {
         return vote_reply{reply->pre_vote(), base::term(reply->term()),
--- a/curranthoist/storage/internal/record_codec.hpp
+++ b/curranthoist/storage/internal/record_codec.hpp
@@ -14,7 +14,8 @@
 // follow without padding. A record holds the entries of one append, so at most the last
 // record of the last segment was never synced:
 //
-//     u32 mark | u32 body length | u64 check of these 8 bytes | u64 check of the body | body
+//     u32 mark | u32 body length | u64 check of these 8 bytes | u64 check of the body |
+//     body
 //
 // Checks are XXH3 sums seeded with the segment's number and the record's offset, so a
 // record that was copied to another place does not pass.
--- a/curranthoist/storage/log_store.hpp
+++ b/curranthoist/storage/log_store.hpp
@@ -23,24 +23,25 @@
 //     const storage::recovered_log state = store.take_recovered();
 //     store.append(entries);
 //
-// When a write or sync throws, the process must stop: what the disk holds is unknown until
-// the folder is opened again. Later calls throw std::logic_error.
+// When a write or sync throws, the process must stop: what the disk holds is unknown
+// until the folder is opened again. Later calls throw std::logic_error.
 template <disk Disk>
 class log_store
 {
 public:
-    static constexpr std::uint64_t default_segment_bytes = std::uint64_t{16} * 1024 * 1024;
+    static constexpr std::uint64_t default_segment_bytes =
+        std::uint64_t{16} * 1024 * 1024;
 
-    // Writes the identity of a new member into a folder that has none. `first` are the log
-    // entries that every initial member starts with; a replacement starts without. Throws
-    // base::findings_error if the folder holds a member's state already.
+    // Writes the identity of a new member into a folder that has none. `first` are the
+    // log entries that every initial member starts with; a replacement starts without.
+    // Throws base::findings_error if the folder holds a member's state already.
     static void initialise(Disk& disk, const base::member_id& identity,
                            std::span<const log_entry> first);
 
     // Opens the folder: cuts a torn tail and removes obsolete files. Throws
     // base::findings_error if there is no identity, or naming every damaged file and the
-    // offset in it. The disk must outlive the store. A new segment starts when the current
-    // one has `segment_bytes`.
+    // offset in it. The disk must outlive the store. A new segment starts when the
+    // current one has `segment_bytes`.
     explicit log_store(Disk& disk, std::uint64_t segment_bytes = default_segment_bytes);
     ~log_store();
     log_store(const log_store&) = delete;
@@ -111,3 +112,4 @@
 } // namespace curranthoist::storage
 
 #include "curranthoist/storage/internal/log_store.hpp"
+#include "curranthoist/storage/internal/log_store_open.hpp"
--- a/curranthoist/storage/record_codec.cpp
+++ b/curranthoist/storage/record_codec.cpp
@@ -1,6 +1,7 @@
-#include "curranthoist/storage/internal/byte_codec.hpp"
 #include "curranthoist/storage/internal/record_codec.hpp"
 
+#include "curranthoist/storage/internal/byte_codec.hpp"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -10,9 +11,9 @@
 
 namespace {
 
-constexpr std::uint64_t segment_mark = 0x31474f4c54534843;  // "CHSTLOG1"
-constexpr std::uint32_t record_mark = 0x31524843;           // "CHR1"
-constexpr std::uint64_t file_mark = 0x31454c4946534843;     // "CHSFILE1"
+constexpr std::uint64_t segment_mark = 0x31474f4c54534843; // "CHSTLOG1"
+constexpr std::uint32_t record_mark = 0x31524843;          // "CHR1"
+constexpr std::uint64_t file_mark = 0x31454c4946534843;    // "CHSFILE1"
 constexpr std::size_t checked_header_bytes = 8;
 // The smallest unit that a disk writes as a whole.
 constexpr std::size_t sector_bytes = 512;
@@ -87,8 +88,8 @@
 {
     std::uint64_t from = offset;
     while (from < bytes.size()) {
-        const std::uint64_t to =
-            std::min<std::uint64_t>((from / sector_bytes + 1) * sector_bytes, bytes.size());
+        const std::uint64_t to = std::min<std::uint64_t>(
+            (from / sector_bytes + 1) * sector_bytes, bytes.size());
         const std::span<const std::uint8_t> part = bytes.subspan(from, to - from);
         if (std::all_of(part.begin(), part.end(), [](auto byte) { return byte == 0; })) {
             return true;
@@ -98,9 +99,9 @@
     return false;
 }
 
-// Whether the bad bytes from `offset` on are the rest of one append that was never synced.
-// Only such an append may be missing: it was never acknowledged. A complete record with a
-// wrong sum and no unwritten sector has been changed after it was written.
+// Whether the bad bytes from `offset` on are the rest of one append that was never
+// synced. Only such an append may be missing: it was never acknowledged. A complete
+// record with a wrong sum and no unwritten sector has been changed after it was written.
 bool is_torn_tail(std::uint64_t segment, std::span<const std::uint8_t> bytes,
                   std::uint64_t offset)
 {
