--- a/curranthoist/controld/control_process.cpp
+++ b/curranthoist/controld/control_process.cpp
@@ -23,6 +23,12 @@
     if (mode != start_mode::existing) {
         std::filesystem::create_directories(folder);
     }
+    else if (!std::filesystem::is_directory(folder)) {
+        base::findings found;
+        found.add(folder, "the data folder is missing; a member that lost it is replaced "
+                          "under a new name with --init-replacement");
+        throw base::findings_error(found);
+    }
     return folder;
 }
 
@@ -104,8 +110,8 @@
 {
     consensus::host_options options;
     options.listen = settings_.peers;
-    options.incarnation = base::incarnation(
-        static_cast<std::uint64_t>(base::wall_clock().now().count()));
+    options.incarnation =
+        base::incarnation(static_cast<std::uint64_t>(base::wall_clock().now().count()));
     options.seed = std::random_device()();
     options.entries_per_snapshot = settings_.snapshot_interval_entries;
     return options;
@@ -173,8 +179,8 @@
         loop_.break_loop(ev::ALL);
         return;
     }
-    stop_until_ = clock_.now() +
-                  base::duration(static_cast<std::int64_t>(handover_limit_s * 1000));
+    stop_until_ =
+        clock_.now() + base::duration(static_cast<std::int64_t>(handover_limit_s * 1000));
     stop_timer_.start(handover_poll_s, handover_poll_s);
 }
 
--- a/curranthoist/controld/member_replacer.hpp
+++ b/curranthoist/controld/member_replacer.hpp
@@ -10,9 +10,9 @@
 
 namespace curranthoist::controld {
 
-// Carries out the replacement of a member that an operator wants, one step at a time: adds
-// the new member as a learner, replaces the old one when the learner has caught up, and
-// reports when that is committed. Every leader continues where the last one stopped,
+// Carries out the replacement of a member that an operator wants, one step at a time:
+// adds the new member as a learner, replaces the old one when the learner has caught up,
+// and reports when that is committed. Every leader continues where the last one stopped,
 // because each step shows in the membership.
 //
 // `Host` is consensus::replica_host or a stand-in with change_membership().
--- a/curranthoist/controld/operator_api.cpp
+++ b/curranthoist/controld/operator_api.cpp
@@ -167,8 +167,7 @@
     return {ok, text_of(to_json(plan_for(wanted, members))), {}};
 }
 
-operator_result operator_api::confirm(std::string_view body,
-                                      const members_view& members,
+operator_result operator_api::confirm(std::string_view body, const members_view& members,
                                       base::instant wall) const
 {
     constexpr std::size_t max_id_bytes = 200;
@@ -206,8 +205,7 @@
 
 std::optional<operator_response>
 operator_api::early_answer(const control::encoded::operator_intent_message& command,
-                           const std::string& plan_id,
-                           const members_view& members) const
+                           const std::string& plan_id, const members_view& members) const
 {
     control::intent_result known;
     known.id = base::intent_id(command.intent_id);
--- a/curranthoist/controld/operator_api.hpp
+++ b/curranthoist/controld/operator_api.hpp
@@ -48,9 +48,8 @@
                                          const members_view& members) const;
     [[nodiscard]] operator_response plan(std::string_view body,
                                          const members_view& members) const;
-    [[nodiscard]] operator_result confirm(std::string_view body,
-                                          const members_view& members,
-                                          base::instant wall) const;
+    [[nodiscard]] operator_result
+    confirm(std::string_view body, const members_view& members, base::instant wall) const;
     // The answer if the state decides without a new command; nothing otherwise.
     [[nodiscard]] std::optional<operator_response>
     early_answer(const control::encoded::operator_intent_message& command,
