--- a/curranthoist/control/cluster_state_test.cpp
+++ b/curranthoist/control/cluster_state_test.cpp
@@ -237,7 +237,7 @@
 
 TEST_F(cluster_state_test, claims_are_kept_by_the_time_in_the_id)
 {
-    EXPECT_EQ(claim(request(now_ + 5 * 60'000 + 1), 1).answer, claim_answer::too_new);
+    EXPECT_EQ(claim(request(now_ + 300'001), 1).answer, claim_answer::too_new);
     EXPECT_EQ(claim(request(now_ - day_ms - 1), 2).answer, claim_answer::expired);
     EXPECT_EQ(claim("no time", 3).answer, claim_answer::refused);
     const std::string id = request(now_);
--- a/curranthoist/control/controller_schedule_test.hpp
+++ b/curranthoist/control/controller_schedule_test.hpp
@@ -8,11 +8,9 @@
 #include "curranthoist/control/simulated_vm_test.hpp"
 
 #include <array>
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
