--- a/curranthoist/controld/replicated_log.hpp
+++ b/curranthoist/controld/replicated_log.hpp
@@ -6,9 +6,8 @@
 
 namespace curranthoist::controld {
 
-// What the control process needs from the replicated log. consensus::replica_host has it,
-// and memory_log for a single process without a disk. Callbacks run from the loop, never
-// inside the call that registers them.
+// What the control process needs from the replicated log; consensus::replica_host has it.
+// Callbacks run from the loop, never inside the call that registers them.
 template <class Log>
 concept replicated_log = requires(Log& log, const Log& constant,
                                   std::vector<std::uint8_t> command,
