--- a/curranthoist/entry/control_session.cpp
+++ b/curranthoist/entry/control_session.cpp
@@ -180,8 +180,8 @@
     for (auto& [target, released] : released_) {
         message.released.push_back(
             std::make_unique<wire::released_target_message>(released.message));
-        released.carried_by = released.carried_by != 0 ? released.carried_by
-                                                       : message.sequence;
+        released.carried_by =
+            released.carried_by != 0 ? released.carried_by : message.sequence;
     }
     facts_.fill(message);
     dialer_->send(std::move(message));
--- a/curranthoist/entry/deployment_fixture_test.cpp
+++ b/curranthoist/entry/deployment_fixture_test.cpp
@@ -21,12 +21,12 @@
     control_ = new_address();
     const std::string peers = control_ + ":" + std::to_string(control_port);
     const std::string operators = control_ + ":" + std::to_string(operators_port);
-    const std::string file = write_file(
-        "control.toml", "name = \"c1\"\ndata_folder = \"" + folder() +
-                            "/data\"\n[listen]\npeers = \"" + peers +
-                            "\"\noperators = \"" + operators +
-                            "\"\n[[members]]\nname = \"c1\"\npeer_address = \"" + peers +
-                            "\"\noperators_address = \"" + operators + "\"\n");
+    const std::string file =
+        write_file("control.toml",
+                   "name = \"c1\"\ndata_folder = \"" + folder() +
+                       "/data\"\n[listen]\npeers = \"" + peers + "\"\noperators = \"" +
+                       operators + "\"\n[[members]]\nname = \"c1\"\npeer_address = \"" +
+                       peers + "\"\noperators_address = \"" + operators + "\"\n");
     start("curranthoist-control", {"--settings", file, "--init-cluster"});
     ASSERT_TRUE(wait_until_ready({control_, operators_port}, "/v1/status"));
     confirm({{"kind", "add_zone"}, {"zone", "a"}});
@@ -58,14 +58,22 @@
                                static_cast<char>('a' + static_cast<char>(i % replicas));
         const std::string address = new_address();
         const std::string listen = address + ":" + std::to_string(target_port);
-        std::vector<std::string> arguments{
-            "--listen",  listen, "--admin-listen", address + ":" + std::to_string(admin_port),
-            "--id",      id,     "--service",      name,
-            "--service-ms", "2", "--service-shape", "fixed"};
+        std::vector<std::string> arguments{"--listen",
+                                           listen,
+                                           "--admin-listen",
+                                           address + ":" + std::to_string(admin_port),
+                                           "--id",
+                                           id,
+                                           "--service",
+                                           name,
+                                           "--service-ms",
+                                           "2",
+                                           "--service-shape",
+                                           "fixed"};
         if (!order) {
-            arguments.insert(arguments.end(), {"--snapshot", "1:" + std::to_string(shard) +
-                                                                 ":" +
-                                                                 std::to_string(shards)});
+            arguments.insert(arguments.end(),
+                             {"--snapshot", "1:" + std::to_string(shard) + ":" +
+                                                std::to_string(shards)});
         }
         targets_[id] = {address, &start("curranthoist-target", arguments)};
         declared.push_back({{"target", id},
@@ -83,13 +91,14 @@
 
 void deployment_fixture::start_vm(const std::string& name, const std::string& address)
 {
-    const std::string file = write_file(
-        name + ".toml",
-        "vm = \"" + name + "\"\nzone = \"a\"\ncontrol = [\"" + control_ + ":" +
-            std::to_string(control_port) +
-            "\"]\nbalancer_delay_ms = 300\nstop_limit_ms = 10000\n[listen]\ncallers = \"" +
-            address + ":" + std::to_string(callers_port) + "\"\npeers = \"" + address +
-            ":" + std::to_string(peers_port) + "\"\n");
+    const std::string file =
+        write_file(name + ".toml", "vm = \"" + name + "\"\nzone = \"a\"\ncontrol = [\"" +
+                                       control_ + ":" + std::to_string(control_port) +
+                                       "\"]\nbalancer_delay_ms = 300\nstop_limit_ms = "
+                                       "10000\n[listen]\ncallers = \"" +
+                                       address + ":" + std::to_string(callers_port) +
+                                       "\"\npeers = \"" + address + ":" +
+                                       std::to_string(peers_port) + "\"\n");
     vms_.push_back({address, &start("curranthoist-entry", {"--settings", file})});
 }
 
--- a/curranthoist/entry/deployment_fixture_test.hpp
+++ b/curranthoist/entry/deployment_fixture_test.hpp
@@ -30,7 +30,8 @@
     };
 
     void start_control();
-    // Starts the targets of a service and declares it. Shard n's targets are n "a", "b"...
+    // Starts the targets of a service and declares it. Shard n's targets are n "a",
+    // "b"...
     void add_service(const std::string& name, bool order, unsigned shards,
                      unsigned replicas);
     void add_vms(unsigned count);
