--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -57,17 +57,13 @@
                          and correct(body, service), describe(status, body))
 
 
-def journal(target):
-    status, body = fleet.get(f"http://{target.admin}/journal/summary")
-    return body if status == 200 else None
-
-
 def order_runs(system, request_id):
-    """How often any target's journal says that the order ran, over all targets alive."""
+    """How often the order ran by the journals of all order targets."""
     runs = 0
     for target in system.targets:
         if target.service.kind == "order":
-            runs += journal(target)["orders"].get(request_id, 0)
+            runs += sum(1 for one in system.journal(target)
+                        if one["kind"] == "order" and one["request_id"] == request_id)
     return runs
 
 
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -289,6 +289,25 @@
                         return False
         return True
 
+    # Targets' side
+
+    def journal(self, target):
+        """Every order that the stand-in ran, and its latest parts."""
+        status, body = get(f"http://{target.admin}/journal")
+        if status != 200:
+            raise RuntimeError(f"no journal of {target.name}: {status}")
+        lines = body.splitlines() if isinstance(body, str) else [json.dumps(body)]
+        return [json.loads(line) for line in lines if line]
+
+    def summary(self, target):
+        """The stand-in's sums and peaks."""
+        return get(f"http://{target.admin}/journal/summary")[1]
+
+    def fault(self, target, **fault):
+        status, body = post(f"http://{target.admin}/fault", json.dumps(fault))
+        if status != 200:
+            raise RuntimeError(f"fault refused by {target.name}: {status} {body}")
+
     # Callers' side
 
     def query(self, entry, service, body="thickness=2.1", deadline_ms=1000):
