--- a/curranthoist/storage/log_store_test.cpp
+++ b/curranthoist/storage/log_store_test.cpp
@@ -69,7 +69,7 @@
 // One step of the workload on the store and on what is expected of it.
 using step = std::function<void(log_store<fault_disk>*, expected_state&)>;
 
-step append_step(std::vector<log_entry> entries)
+step append_step(const std::vector<log_entry>& entries)
 {
     return [entries](log_store<fault_disk>* store, expected_state& state) {
         state.append(entries);
