Add deltas between configurations

Cause: each change of one assignment sends the whole configuration to every VM.

Ruled out: compressing the whole configuration; every VM would still decode all of it for one changed entry.

Nothing sends deltas yet.

--- a/curranthoist/control/configuration_codec.cpp
+++ b/curranthoist/control/configuration_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/findings.hpp"
 #include "curranthoist/control/configuration.hpp"
+#include "curranthoist/control/configuration_delta.hpp"
 
 #include <memory>
 #include <string>
@@ -78,6 +79,22 @@
     return base::duration(static_cast<std::int64_t>(count));
 }
 
+template <class Id>
+std::vector<std::string> texts_of(const std::vector<Id>& ids)
+{
+    std::vector<std::string> texts;
+    for (const Id& id : ids) {
+        texts.push_back(id.str());
+    }
+    return texts;
+}
+
+template <class Id>
+std::vector<Id> ids_of(const std::vector<std::string>& texts)
+{
+    return std::vector<Id>(texts.begin(), texts.end());
+}
+
 // Turns the entries of a message into a configuration and collects what can't be read.
 class reader
 {
@@ -189,4 +206,36 @@
     return reader().read(message);
 }
 
+wire::configuration_delta_message to_message(const configuration_delta& delta)
+{
+    wire::configuration_delta_message message;
+    message.base = delta.base.value();
+    message.changed =
+        std::make_unique<wire::configuration_message>(to_message(delta.changed));
+    message.removed_zones = texts_of(delta.removed_zones);
+    message.removed_services = texts_of(delta.removed_services);
+    message.removed_targets = texts_of(delta.removed_targets);
+    message.removed_vms = texts_of(delta.removed_vms);
+    message.removed_assignments = texts_of(delta.removed_assignments);
+    return message;
+}
+
+configuration_delta from_message(const wire::configuration_delta_message& message)
+{
+    if (!message.changed) {
+        base::findings found;
+        found.add("delta", "changed entries are missing");
+        found.throw_if_any();
+    }
+    configuration_delta delta;
+    delta.base = base::revision(message.base);
+    delta.changed = from_message(*message.changed);
+    delta.removed_zones = ids_of<base::zone_id>(message.removed_zones);
+    delta.removed_services = ids_of<base::service_id>(message.removed_services);
+    delta.removed_targets = ids_of<base::target_id>(message.removed_targets);
+    delta.removed_vms = ids_of<base::vm_id>(message.removed_vms);
+    delta.removed_assignments = ids_of<base::target_id>(message.removed_assignments);
+    return delta;
+}
+
 } // namespace curranthoist::control
--- a/curranthoist/control/configuration_codec.hpp
+++ b/curranthoist/control/configuration_codec.hpp
@@ -5,6 +5,7 @@
 namespace curranthoist::control {
 
 struct configuration;
+struct configuration_delta;
 
 // The form of a configuration that is sent to entry VMs and kept in log snapshots.
 wire::configuration_message to_message(const configuration& value);
@@ -13,4 +14,10 @@
 // identifier or an address that can't be read.
 configuration from_message(const wire::configuration_message& message);
 
+// The form of a delta that is sent to entry VMs.
+wire::configuration_delta_message to_message(const configuration_delta& delta);
+
+// The reverse. Throws base::findings_error as above, and if there is no changed part.
+configuration_delta from_message(const wire::configuration_delta_message& message);
+
 } // namespace curranthoist::control
