Find the best VM for a target by an index

Cause: best_vm() looked at all VMs for each target and looked the target's shard up again for each of them, and move_for_balance() looked for the lowest load once per assignment, so a step cost VMs x targets.

Ruled out: keeping the counts from one step to the next. The step then would have to follow every change of assignments, roster and VMs exactly.

Change: vm_loads holds the usable VMs of each zone in order of load, and the VMs of each shard.

Conclusion: a step costs targets x log(VMs).

--- a/curranthoist/control/assignment_controller.cpp
+++ b/curranthoist/control/assignment_controller.cpp
@@ -4,9 +4,7 @@
 #include "curranthoist/control/roster.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <string>
-#include <tuple>
 
 namespace curranthoist::control {
 
@@ -69,29 +67,17 @@
 
 void assignment_controller::count(const inputs& now)
 {
-    tally_ = tally();
+    loads_ = vm_loads(balance_tolerance);
     for (const base::vm_id& vm : usable_) {
-        tally_.load[vm] = 0;
+        loads_.add_usable(vm, now.current.vms.at(vm).zone);
     }
     for (const auto& [target, held] : now.current.assignments) {
         if (held.phase == assignment_phase::owned) {
-            count_one(now, target, held.owner, 1);
+            loads_.change(held.owner, shard_of(now, target), 1);
         }
     }
 }
 
-void assignment_controller::count_one(const inputs& now, const base::target_id& target,
-                                      const base::vm_id& vm, int by)
-{
-    const auto load = tally_.load.find(vm);
-    if (load != tally_.load.end()) {
-        load->second += static_cast<std::size_t>(by);
-    }
-    if (const auto shard = shard_of(now, target)) {
-        tally_.shards[vm][*shard] += by;
-    }
-}
-
 bool assignment_controller::is_servable(const inputs& now,
                                         const base::target_id& target) const
 {
@@ -156,8 +142,9 @@
     made->reason = "target " + target.str() + " leaves VM " + held.owner.str() +
                    " because " + reason;
     changes_.push_back(std::move(made));
-    count_one(now, target, held.owner, -1);
-    if (const auto shard = shard_of(now, target)) {
+    const auto shard = shard_of(now, target);
+    loads_.change(held.owner, shard, -1);
+    if (shard) {
         moving_shards_.insert(*shard);
     }
 }
@@ -186,7 +173,7 @@
     made->reason =
         "target " + target.str() + " goes to VM " + vm->str() + " because " + reason;
     changes_.push_back(std::move(made));
-    count_one(now, target, *vm, 1);
+    loads_.change(*vm, shard_of(now, target), 1);
 }
 
 void assignment_controller::remove(const inputs& now, const base::target_id& target)
@@ -207,32 +194,7 @@
 std::optional<base::vm_id>
 assignment_controller::best_vm(const inputs& now, const base::target_id& target) const
 {
-    const base::zone_id zone = now.current.targets.at(target).zone;
-    const std::size_t lowest = lowest_load();
-    std::optional<base::vm_id> best;
-    std::tuple<int, bool, bool, std::size_t> best_score;
-    for (const auto& [vm, load] : tally_.load) {
-        const bool loaded = load + 1 > lowest + balance_tolerance;
-        const bool far = now.current.vms.at(vm).zone != zone;
-        const std::tuple score(siblings(now, target, vm), loaded, far, load);
-        if (!best || score < best_score) {
-            best = vm;
-            best_score = score;
-        }
-    }
-    return best;
-}
-
-int assignment_controller::siblings(const inputs& now, const base::target_id& target,
-                                    const base::vm_id& vm) const
-{
-    const auto shard = shard_of(now, target);
-    const auto held = tally_.shards.find(vm);
-    if (!shard || held == tally_.shards.end()) {
-        return 0;
-    }
-    const auto number = held->second.find(*shard);
-    return number == held->second.end() ? 0 : number->second;
+    return loads_.best(now.current.targets.at(target).zone, shard_of(now, target));
 }
 
 std::optional<assignment_controller::shard_key>
@@ -246,15 +208,6 @@
     return shard_key(spec->second.service, place->shard.value());
 }
 
-std::size_t assignment_controller::lowest_load() const
-{
-    std::size_t lowest = std::numeric_limits<std::size_t>::max();
-    for (const auto& [vm, load] : tally_.load) {
-        lowest = std::min(lowest, load);
-    }
-    return lowest;
-}
-
 bool assignment_controller::may_move(const inputs& now) const
 {
     const bool busy =
@@ -275,11 +228,11 @@
         const auto shard = shard_of(now, target);
         // Two siblings must not move at once: the shard would have no target meanwhile.
         if (!shard || moving_shards_.contains(*shard) ||
-            siblings(now, target, held.owner) < 2) {
+            loads_.siblings(held.owner, shard) < 2) {
             continue;
         }
         const std::optional<base::vm_id> better = best_vm(now, target);
-        if (better && siblings(now, target, *better) == 0) {
+        if (better && loads_.siblings(*better, shard) == 0) {
             release(now, target, "the VM owns another target of the same shard");
         }
     }
@@ -288,23 +241,24 @@
 void assignment_controller::move_for_balance(const inputs& now)
 {
     for (const auto& [target, held] : now.current.assignments) {
-        const auto load = tally_.load.find(held.owner);
-        if (changes_.size() >= max_moves || load == tally_.load.end()) {
+        if (changes_.size() >= max_moves) {
+            return;
+        }
+        if (!loads_.is_over(held.owner)) {
             continue;
         }
         const auto shard = shard_of(now, target);
-        if (load->second <= lowest_load() + balance_tolerance ||
-            (shard && moving_shards_.contains(*shard))) {
+        if (shard && moving_shards_.contains(*shard)) {
             continue;
         }
-        count_one(now, target, held.owner, -1);
+        loads_.change(held.owner, shard, -1);
         const std::optional<base::vm_id> better = best_vm(now, target);
-        count_one(now, target, held.owner, 1);
+        loads_.change(held.owner, shard, 1);
         // Without this check a target whose siblings are everywhere else would be
         // released and assigned to the same VM for ever.
         if (better && *better != held.owner) {
             release(now, target, "the VM owns more targets than others");
-            count_one(now, target, *better, 1);
+            loads_.change(*better, shard, 1);
         }
     }
 }
--- a/curranthoist/control/assignment_controller.hpp
+++ b/curranthoist/control/assignment_controller.hpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/identifiers.hpp"
 #include "curranthoist/base/instant.hpp"
 #include "curranthoist/control/generated/commands_generated.h"
+#include "curranthoist/control/vm_loads.hpp"
 
 #include <cstdint>
 #include <map>
@@ -47,6 +48,8 @@
         bool may_keep = false;
         // It has an open process, which ends a releasing assignment by its own report.
         bool open = false;
+
+        bool operator==(const vm_view&) const = default;
     };
     // A released target as its owner reported it.
     struct release_report
@@ -70,22 +73,16 @@
     // The next changes, in order; each has its reason. Empty if nothing is to be done.
     std::vector<std::unique_ptr<encoded::assignment_change_message>>
     step(const inputs& now);
+    // When the set of usable VMs will have been the same for settle_time: a step then may
+    // make moves that it does not make earlier.
+    [[nodiscard]] base::instant settles_at() const { return usable_since_ + settle_time; }
     void clear();
 
 private:
     using change = encoded::assignment_change_message;
-    using shard_key = std::pair<base::service_id, std::uint64_t>;
-
-    // The loads and shards of all VMs; filled anew in each step.
-    struct tally
-    {
-        std::map<base::vm_id, std::size_t> load;
-        std::map<base::vm_id, std::map<shard_key, int>> shards;
-    };
+    using shard_key = vm_loads::shard_key;
 
     void count(const inputs& now);
-    void count_one(const inputs& now, const base::target_id& target,
-                   const base::vm_id& vm, int by);
     void step_target(const inputs& now, const base::target_id& target);
     void step_releasing(const inputs& now, const base::target_id& target);
     void release(const inputs& now, const base::target_id& target,
@@ -101,16 +98,14 @@
                                    const base::target_id& target) const;
     [[nodiscard]] std::optional<base::vm_id> best_vm(const inputs& now,
                                                      const base::target_id& target) const;
-    [[nodiscard]] int siblings(const inputs& now, const base::target_id& target,
-                               const base::vm_id& vm) const;
     [[nodiscard]] std::optional<shard_key> shard_of(const inputs& now,
                                                     const base::target_id& target) const;
-    [[nodiscard]] std::size_t lowest_load() const;
 
     std::map<base::target_id, release_report> released_;
     std::set<base::vm_id> usable_;
     base::instant usable_since_;
-    tally tally_;
+    // Filled anew in each step.
+    vm_loads loads_{balance_tolerance};
     std::set<shard_key> moving_shards_;
     std::vector<std::unique_ptr<change>> changes_;
 };
