Make the leader's work follow what changed and send deltas

Cause: refresh() checked all VMs, counted all assignments for the assignment step and, for each VM, searched all assignments for one of a retired VM, on every confirmed round, every applied command and every tick; session_of() searched all sessions. Each revision sent the whole configuration to every VM.

Ruled out: longer intervals between the same work; the cost would still grow with VMs x targets, and a lost VM would be noticed later.

Change: - A VM is checked on its heartbeat, on a command or a closed session that concerns it, and at the time in deadline_queue at which time alone changes its state. All VMs are checked after an operator's change and an election. - The assignment step runs when a VM's view, an assignment or a release changed, when the settle time ends, and within 1 s of a changed shard. - A round begins at most every 50 ms. It still begins after the heartbeats that it answers, so the lease rule is unchanged. - configuration_feed gives a VM whose revision is known the deltas from it (16 are kept) and any other the whole configuration; revisions within 50 ms share a delta. What is not applied after 2 s is sent again from the revision in the heartbeat. The revision is taken from the first heartbeat of a session, so a failover sends nothing to VMs that are up to date. - Sessions with the same roster sequence share one encoded frame. - Entry VMs apply a delta on their own revision only. - The random schedule loses single messages, repeats others late, and checks at every step that each VM's configuration is one that was committed.

--- a/curranthoist/control/controller.cpp
+++ b/curranthoist/control/controller.cpp
@@ -62,13 +62,27 @@
     session_state opened;
     opened.vm = base::vm_id(text_of(hello.id()));
     opened.run = base::incarnation(hello.incarnation());
-    sessions_[session] = opened;
+    on_session_closed(session);
+    sessions_of_[{opened.vm, opened.run}].insert(session);
+    sessions_[session] = std::move(opened);
+    roster_due_ = true;
     refresh(now);
 }
 
 void controller::on_session_closed(session_number session)
 {
-    sessions_.erase(session);
+    const auto found = sessions_.find(session);
+    if (found == sessions_.end()) {
+        return;
+    }
+    const auto peers = sessions_of_.find({found->second.vm, found->second.run});
+    peers->second.erase(session);
+    if (peers->second.empty()) {
+        sessions_of_.erase(peers);
+    }
+    // Another process of the VM may have waited for the end of this session.
+    checks_.check_now(found->second.vm);
+    sessions_.erase(found);
     leases_.on_session_closed(session);
 }
 
@@ -105,11 +119,13 @@
                          base::revision(message.applied_revision()), session,
                          message.sequence(), now.monotonic);
     if (ready_ && is_open(from)) {
+        roster_due_ = roster_due_ || (message.full_facts() && !from.full_facts_seen);
         from.full_facts_seen = from.full_facts_seen || message.full_facts();
         roster_.merge(from.vm, message, state_.current());
         take_released(from, message);
     }
-    update_process(from.vm, now);
+    note_applied_revision(from, base::revision(message.applied_revision()), now);
+    check_vm(from.vm, now);
     request_round(now);
 }
 
@@ -128,6 +144,7 @@
         if (awaited) {
             assignments_.on_released(
                 target, {held->second.number, one->warm(), one->pace_milli_per_s()});
+            assignments_due_ = true;
         }
     }
 }
@@ -209,9 +226,14 @@
     roster_.clear();
     known_since_.clear();
     proposed_.clear();
+    views_.clear();
+    expected_.clear();
+    checks_.clear();
+    vms_due_ = true;
+    roster_due_ = true;
     known_revision_ = state_.current().number;
     for (auto& [session, one] : sessions_) {
-        one = session_state{one.vm, one.run, 0, false, {}, false, false};
+        one = session_state{one.vm, one.run, 0, false, {}, {}, false};
     }
     log("this member is the leader and waits until a quorum confirms it");
     request_round(now);
@@ -237,6 +259,8 @@
     if (confirmed && !ready_) {
         ready_ = true;
         leases_.on_ready(state_.current().number);
+        feed_.reset(state_.current());
+        vms_due_ = true;
         log("a quorum confirmed the leadership; revision " +
             std::to_string(state_.current().number.value()) + " is in force");
     }
@@ -266,10 +290,15 @@
     }
     else if (const auto* changed = std::get_if<assignments_result>(&result)) {
         proposed_.erase("assignments");
+        assignments_due_ = true;
         for (const std::string& sentence : changed->changes) {
             log(sentence + " (revision " + std::to_string(known_revision_.value()) + ")");
         }
     }
+    else if (!std::holds_alternative<malformed_result>(result)) {
+        // An operator's intent, or a VM was removed.
+        vms_due_ = true;
+    }
     const bool claims_only = std::holds_alternative<claim_result>(result) ||
                              std::holds_alternative<record_result>(result);
     if (!claims_only) {
@@ -309,8 +338,11 @@
     const std::string name =
         "VM " + result.vm.str() + " incarnation " + std::to_string(result.run.value());
     proposed_.erase("open " + result.vm.str());
+    checks_.check_now(result.vm);
     if (result.open) {
         leases_.on_opened(result.vm, state_.current().number);
+        configuration_due_ = true;
+        roster_due_ = true;
         log(name + " may hold a lease");
     }
     if (result.closed) {
@@ -344,15 +376,12 @@
 std::optional<session_number> controller::session_of(const base::vm_id& vm,
                                                      base::incarnation run) const
 {
-    // The latest session of the process: an older one may be a dead connection.
-    const auto found =
-        std::find_if(sessions_.rbegin(), sessions_.rend(), [&](const auto& entry) {
-            return entry.second.vm == vm && entry.second.run == run;
-        });
-    if (found == sessions_.rend()) {
+    const auto found = sessions_of_.find({vm, run});
+    if (found == sessions_of_.end()) {
         return std::nullopt;
     }
-    return found->first;
+    // The latest session of the process: an older one may be a dead connection.
+    return *found->second.rbegin();
 }
 
 } // namespace curranthoist::control
--- a/curranthoist/control/controller.hpp
+++ b/curranthoist/control/controller.hpp
@@ -3,7 +3,9 @@
 #include "curranthoist/base/instant.hpp"
 #include "curranthoist/control/apply_result.hpp"
 #include "curranthoist/control/assignment_controller.hpp"
+#include "curranthoist/control/configuration_feed.hpp"
 #include "curranthoist/control/controller_output.hpp"
+#include "curranthoist/control/deadline_queue.hpp"
 #include "curranthoist/control/event_time.hpp"
 #include "curranthoist/control/lease_controller.hpp"
 #include "curranthoist/control/roster.hpp"
@@ -11,7 +13,9 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace curranthoist::control {
 
@@ -54,7 +58,11 @@
     // A committed command was applied to the state, with that result.
     void on_applied(const apply_result& result, event_time now);
     // The state was replaced by a log snapshot.
-    void on_state_replaced() { known_revision_ = base::revision(); }
+    void on_state_replaced()
+    {
+        known_revision_ = base::revision();
+        vms_due_ = true;
+    }
     // At least every 100 ms.
     void on_time(event_time now);
 
@@ -76,8 +84,10 @@
         base::incarnation run;
         std::uint64_t roster_sent = 0;
         bool roster_started = false;
-        base::revision configuration_sent;
-        bool configuration_started = false;
+        // The revision that the VM has when all that was sent to it has arrived; not
+        // known before its first heartbeat on this session.
+        std::optional<base::revision> configuration_sent;
+        base::instant configuration_sent_at;
         bool full_facts_seen = false;
     };
 
@@ -92,18 +102,24 @@
     void answer_claim(const claim_result& result);
     void acknowledge(const record_result& result);
     void note_incarnation(const incarnation_result& result);
+    void note_applied_revision(session_state& from, base::revision applied,
+                               event_time now);
     void refresh(event_time now);
-    void update_processes(event_time now);
+    void check_all_vms(event_time now);
+    void check_vm(const base::vm_id& vm, event_time now);
+    void schedule_check(const base::vm_id& vm, event_time now);
     void update_process(const base::vm_id& vm, event_time now);
     void close_process(const base::vm_id& vm, event_time now);
     void update_assignments(event_time now);
     void remove_retired_vms(event_time now);
     void request_round(event_time now);
-    void push_configuration();
+    void push_configuration(event_time now);
     void push_roster(event_time now);
+    [[nodiscard]] bool roster_is_complete(event_time now) const;
     [[nodiscard]] assignment_controller::vm_view view_of(const base::vm_id& vm,
                                                          event_time now) const;
     [[nodiscard]] bool is_expected(const base::vm_id& vm, event_time now) const;
+    [[nodiscard]] base::instant expected_until(const base::vm_id& vm) const;
     [[nodiscard]] bool is_open(const session_state& session) const;
     [[nodiscard]] bool has_session(const base::vm_id& vm, base::incarnation run) const;
     [[nodiscard]] std::optional<session_number> session_of(const base::vm_id& vm,
@@ -119,6 +135,8 @@
     bool ready_ = false;
     std::string leader_hint_;
     std::map<session_number, session_state> sessions_;
+    std::map<std::pair<base::vm_id, base::incarnation>, std::set<session_number>>
+        sessions_of_;
     lease_controller leases_;
     assignment_controller assignments_;
     roster roster_;
@@ -129,6 +147,27 @@
     base::revision known_revision_;
     // When this leader first saw each VM in the configuration.
     std::map<base::vm_id, base::instant> known_since_;
+
+    // What changed since it was last acted on. A quiet leader works for heartbeats only.
+    // Operators changed the configuration, or the leadership is new.
+    bool vms_due_ = true;
+    bool assignments_due_ = true;
+    bool configuration_due_ = false;
+    bool roster_due_ = false;
+    // When the assignment step is due although nothing changed.
+    std::optional<base::instant> assignments_at_;
+    deadline_queue checks_;
+    std::map<base::vm_id, assignment_controller::vm_view> views_;
+    // VMs in service that may still connect.
+    std::set<base::vm_id> expected_;
+    // VMs that are to be removed once they are idle.
+    std::set<base::vm_id> retired_;
+    std::uint64_t placements_seen_ = 0;
+    std::uint64_t roster_pushed_sequence_ = 0;
+
+    configuration_feed feed_;
+    base::instant configuration_pushed_;
+    base::instant old_dropped_;
     std::map<std::string, base::instant> proposed_;
     controller_output output_;
 };
--- a/curranthoist/control/controller_duties.cpp
+++ b/curranthoist/control/controller_duties.cpp
@@ -1,14 +1,13 @@
 // What the leader does by itself, without a message: opening and closing VM processes,
-// assigning targets, removing retired VMs, and pushing configuration and roster.
+// assigning targets, and removing retired VMs.
 
 #include "curranthoist/control/cluster_state.hpp"
 #include "curranthoist/control/commands.hpp"
-#include "curranthoist/control/configuration_codec.hpp"
 #include "curranthoist/control/controller.hpp"
 
 #include <algorithm>
-#include <memory>
 #include <utility>
+#include <vector>
 
 namespace curranthoist::control {
 
@@ -18,8 +17,14 @@
 constexpr base::duration proposal_limit{2000};
 // A round without a result for this long counts as lost and another one is begun.
 constexpr base::duration round_limit{1000};
-// Roster changes are collected for this long, so that many reports make one message.
-constexpr base::duration roster_interval{100};
+// Heartbeats are collected for this long, so that one round answers many of them.
+constexpr base::duration round_interval{50};
+// A VM whose process is to be opened or closed is checked this often.
+constexpr base::duration check_interval{100};
+// Shards that targets report are looked at this often: a step looks at all targets.
+constexpr base::duration placement_interval{1000};
+// Forgotten processes are looked for this often.
+constexpr base::duration drop_interval{1000};
 
 bool is_in_service(const configuration& current, const vm_spec& spec)
 {
@@ -36,7 +41,13 @@
     }
     request_round(now);
     refresh(now);
-    leases_.drop_old(state_, now.monotonic);
+    if (now.monotonic - old_dropped_ >= drop_interval) {
+        old_dropped_ = now.monotonic;
+        leases_.drop_old(state_, now.monotonic);
+        std::erase_if(proposed_, [&now](const auto& entry) {
+            return now.monotonic - entry.second >= proposal_limit;
+        });
+    }
 }
 
 void controller::refresh(event_time now)
@@ -44,16 +55,15 @@
     if (!is_ready()) {
         return;
     }
-    std::erase_if(known_since_, [this](const auto& entry) {
-        return !state_.current().vms.contains(entry.first);
-    });
-    for (const auto& [vm, spec] : state_.current().vms) {
-        known_since_.try_emplace(vm, now.monotonic);
+    if (vms_due_) {
+        check_all_vms(now);
+    }
+    for (const base::vm_id& vm : checks_.take_due(now.monotonic)) {
+        check_vm(vm, now);
     }
-    update_processes(now);
     update_assignments(now);
     remove_retired_vms(now);
-    push_configuration();
+    push_configuration(now);
     push_roster(now);
 }
 
@@ -76,7 +86,8 @@
         }
         open_round_.reset();
     }
-    if (open_round_ || (ready_ && !leases_.wants_round())) {
+    const bool early = now.monotonic - round_started_ < round_interval;
+    if (open_round_ || (ready_ && (early || !leases_.wants_round()))) {
         return;
     }
     leases_.begin_round();
@@ -85,15 +96,78 @@
     output_.confirm_read = open_round_;
 }
 
-void controller::update_processes(event_time now)
+void controller::check_all_vms(event_time now)
 {
+    vms_due_ = false;
+    assignments_due_ = true;
+    retired_.clear();
+    std::erase_if(known_since_, [this](const auto& entry) {
+        return !state_.current().vms.contains(entry.first);
+    });
+    std::vector<base::vm_id> gone;
+    for (const auto& [vm, view] : views_) {
+        if (!state_.current().vms.contains(vm)) {
+            gone.push_back(vm);
+        }
+    }
+    for (const base::vm_id& vm : gone) {
+        check_vm(vm, now);
+    }
     for (const auto& [vm, spec] : state_.current().vms) {
-        update_process(vm, now);
+        known_since_.try_emplace(vm, now.monotonic);
+        if (!spec.in_service) {
+            retired_.insert(vm);
+        }
+        check_vm(vm, now);
     }
     for (const auto& [vm, open] : state_.open_processes()) {
-        if (!state_.current().vms.contains(vm)) {
-            update_process(vm, now);
-        }
+        check_vm(vm, now);
+    }
+}
+
+// Brings what is known about one VM up to date.
+void controller::check_vm(const base::vm_id& vm, event_time now)
+{
+    if (!is_ready()) {
+        return;
+    }
+    update_process(vm, now);
+    schedule_check(vm, now);
+    const auto spec = state_.current().vms.find(vm);
+    const bool known = spec != state_.current().vms.end();
+    if (!known && !state_.open_incarnation(vm)) {
+        assignments_due_ = views_.erase(vm) + expected_.erase(vm) > 0 || assignments_due_;
+        return;
+    }
+    const assignment_controller::vm_view view = view_of(vm, now);
+    const bool expected = known && is_in_service(state_.current(), spec->second) &&
+                          !view.usable && is_expected(vm, now);
+    const auto [seen, added] = views_.try_emplace(vm, view);
+    if (added || seen->second != view || expected != expected_.contains(vm)) {
+        assignments_due_ = true;
+        seen->second = view;
+        expected ? void(expected_.insert(vm)) : void(expected_.erase(vm));
+    }
+}
+
+// The next time at which the passing of time alone changes what is known about the VM.
+void controller::schedule_check(const base::vm_id& vm, event_time now)
+{
+    const std::optional<base::incarnation> open = state_.open_incarnation(vm);
+    const std::optional<base::incarnation> heard = leases_.heard_run(vm, now.monotonic);
+    const bool unopened = heard && heard != open && state_.current().vms.contains(vm);
+    const bool unclosed = open && leases_.is_expired(vm, *open, now.monotonic);
+    if (unopened || unclosed) {
+        checks_.check_by(vm, now.monotonic + check_interval);
+    }
+    else if (open) {
+        checks_.check_by(vm, leases_.expires_at(vm, *open));
+    }
+    if (heard) {
+        checks_.check_by(vm, leases_.heard_until(vm, *heard));
+    }
+    if (is_expected(vm, now)) {
+        checks_.check_by(vm, expected_until(vm));
     }
 }
 
@@ -140,13 +214,18 @@
     return session_of(vm, run).has_value();
 }
 
-bool controller::is_expected(const base::vm_id& vm, event_time now) const
+base::instant controller::expected_until(const base::vm_id& vm) const
 {
     const auto known = known_since_.find(vm);
     const base::instant since = known == known_since_.end()
                                     ? leases_.elected()
                                     : std::max(known->second, leases_.elected());
-    return now.monotonic - since < lease_controller::expiry_wait;
+    return since + lease_controller::expiry_wait;
+}
+
+bool controller::is_expected(const base::vm_id& vm, event_time now) const
+{
+    return now.monotonic < expected_until(vm);
 }
 
 assignment_controller::vm_view controller::view_of(const base::vm_id& vm,
@@ -169,24 +248,25 @@
 
 void controller::update_assignments(event_time now)
 {
-    std::map<base::vm_id, assignment_controller::vm_view> views;
-    bool expected = false;
-    for (const auto& [vm, spec] : state_.current().vms) {
-        const auto view = views[vm] = view_of(vm, now);
-        expected = expected || (is_in_service(state_.current(), spec) && !view.usable &&
-                                is_expected(vm, now));
-    }
-    for (const auto& [vm, open] : state_.open_processes()) {
-        views.try_emplace(vm, view_of(vm, now));
+    if (roster_.placement_changes() != placements_seen_) {
+        placements_seen_ = roster_.placement_changes();
+        const base::instant at = now.monotonic + placement_interval;
+        assignments_at_ = assignments_at_ ? std::min(*assignments_at_, at) : at;
     }
-    const bool waiting = proposed_.contains("assignments") &&
-                         now.monotonic - proposed_.at("assignments") < proposal_limit;
-    if (waiting) {
+    const bool due =
+        assignments_due_ || (assignments_at_ && now.monotonic >= *assignments_at_);
+    const auto proposed = proposed_.find("assignments");
+    const bool waiting =
+        proposed != proposed_.end() && now.monotonic - proposed->second < proposal_limit;
+    if (!due || waiting) {
         return;
     }
     encoded::change_assignments_message command;
-    command.changes =
-        assignments_.step({state_.current(), roster_, views, now.monotonic, expected});
+    command.changes = assignments_.step(
+        {state_.current(), roster_, views_, now.monotonic, !expected_.empty()});
+    assignments_due_ = !command.changes.empty();
+    const base::instant settled = assignments_.settles_at();
+    assignments_at_ = settled > now.monotonic ? std::optional(settled) : std::nullopt;
     if (!command.changes.empty() && may_propose("assignments", now)) {
         output_.proposals.push_back(encode_command(now.wall, std::move(command)));
     }
@@ -194,74 +274,20 @@
 
 void controller::remove_retired_vms(event_time now)
 {
-    for (const auto& [vm, spec] : state_.current().vms) {
-        const auto owned = std::any_of(
+    for (const base::vm_id& vm : retired_) {
+        if (state_.open_incarnation(vm) || leases_.heard_run(vm, now.monotonic)) {
+            continue;
+        }
+        const bool owned = std::any_of(
             state_.current().assignments.begin(), state_.current().assignments.end(),
-            [&vm = vm](const auto& entry) { return entry.second.owner == vm; });
-        if (spec.in_service || owned || state_.open_incarnation(vm) ||
-            leases_.heard_run(vm, now.monotonic) ||
-            !may_propose("remove " + vm.str(), now)) {
+            [&vm](const auto& entry) { return entry.second.owner == vm; });
+        if (owned || !may_propose("remove " + vm.str(), now)) {
             continue;
         }
         encoded::remove_vm_message command;
         command.vm = vm.str();
         output_.proposals.push_back(encode_command(now.wall, std::move(command)));
     }
-    std::erase_if(proposed_, [&now](const auto& entry) {
-        return now.monotonic - entry.second >= proposal_limit;
-    });
-}
-
-void controller::push_configuration()
-{
-    std::vector<std::uint8_t> frame;
-    for (auto& [session, one] : sessions_) {
-        // Only the open process may learn of assignments: another process of the same VM
-        // would take them for its own.
-        const bool current = one.configuration_started &&
-                             one.configuration_sent >= state_.current().number;
-        if (current || !is_open(one)) {
-            continue;
-        }
-        if (frame.empty()) {
-            wire::configuration_update_message update;
-            update.value = std::make_unique<wire::configuration_message>(
-                to_message(state_.current()));
-            frame = wire::encode_frame(std::move(update));
-        }
-        one.configuration_started = true;
-        one.configuration_sent = state_.current().number;
-        output_.messages.push_back({session, frame});
-    }
-}
-
-void controller::push_roster(event_time now)
-{
-    // Right after a failover the roster is incomplete, and a full update would take facts
-    // away that the VMs still have.
-    const bool complete =
-        std::all_of(sessions_.begin(), sessions_.end(), [this](const auto& entry) {
-            return !is_open(entry.second) || entry.second.full_facts_seen;
-        });
-    const bool waited =
-        now.monotonic - leases_.elected() >= lease_controller::expiry_wait;
-    const bool all_here = std::all_of(
-        state_.open_processes().begin(), state_.open_processes().end(),
-        [this](const auto& entry) { return has_session(entry.first, entry.second.run); });
-    if (now.monotonic - roster_pushed_ < roster_interval ||
-        (!waited && !(complete && all_here))) {
-        return;
-    }
-    roster_pushed_ = now.monotonic;
-    for (auto& [session, one] : sessions_) {
-        const bool current = one.roster_started && one.roster_sent == roster_.sequence();
-        if (current || !is_open(one)) {
-            continue;
-        }
-        output_.send(session, roster_.update(one.roster_sent, !one.roster_started));
-        one.roster_started = true;
-        one.roster_sent = roster_.sequence();
-    }
 }
 
 } // namespace curranthoist::control
--- a/curranthoist/control/controller_schedule_test.cpp
+++ b/curranthoist/control/controller_schedule_test.cpp
@@ -22,8 +22,9 @@
 }
 
 // Guards against two VMs that send to one target at once, and against work for a target
-// that is out of service for longer than the bound, over failovers, cut and late
-// connections, and VMs that restart while their old process is frozen.
+// that is out of service for longer than the bound, and VMs that put a configuration
+// together that was never committed, over failovers, cut and late connections, lost and
+// repeated messages, and VMs that restart while their old process is frozen.
 TEST(controller_schedule_test, a_target_never_has_two_holders)
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
@@ -35,6 +36,8 @@
         ASSERT_EQ(schedule.violation(), "");
         // Without this the check would pass if nothing was ever granted.
         EXPECT_TRUE(schedule.all_held());
+        // R10: a lost delta that is never made up for.
+        EXPECT_TRUE(schedule.all_current());
     }
 }
 
--- a/curranthoist/control/controller_schedule_test.hpp
+++ b/curranthoist/control/controller_schedule_test.hpp
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "curranthoist/base/random_source.hpp"
-#include "curranthoist/control/cluster_state.hpp"
 #include "curranthoist/control/commands.hpp"
-#include "curranthoist/control/controller.hpp"
 #include "curranthoist/control/intent.hpp"
-#include "curranthoist/control/simulated_vm_test.hpp"
+#include "curranthoist/control/schedule_parts_test.hpp"
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
@@ -17,8 +16,9 @@
 namespace curranthoist::control {
 
 // Three control members, some VMs and a random schedule of failovers, cut connections,
-// late messages and restarts. The log is a shared list that only the present leader can
-// extend; a former leader that is cut off still believes that it leads.
+// late, lost and repeated messages, and restarts. The log is a shared list that only the
+// present leader can extend; a former leader that is cut off still believes that it
+// leads.
 class controller_schedule
 {
 public:
@@ -62,7 +62,7 @@
             check_out_targets();
         }
     }
-    // What was seen, empty if no target ever had two holders.
+    // The first violation that was seen, or empty.
     [[nodiscard]] const std::string& violation() const { return violation_; }
     // Whether every target has a live holder now.
     [[nodiscard]] bool all_held() const
@@ -74,33 +74,19 @@
         }
         return true;
     }
+    // Whether every running VM has the configuration in force.
+    [[nodiscard]] bool all_current() const
+    {
+        return std::all_of(processes_.begin(), processes_.end(), [this](const auto& one) {
+            return !one.running || one.vm->known() == state().current();
+        });
+    }
     [[nodiscard]] const cluster_state& state() const { return members_[present_].state; }
 
 private:
-    struct member
-    {
-        cluster_state state;
-        std::unique_ptr<controller> leader;
-        std::size_t applied = 0;
-    };
-    // One process and its connection.
-    struct process
-    {
-        std::unique_ptr<simulated_vm> vm;
-        bool running = true;
-        std::size_t member = 0;
-        session_number session = 0;
-        base::instant next_heartbeat;
-        base::instant last_grant;
-        base::instant cut_until;
-        base::instant in_order_up;
-        base::instant in_order_down;
-    };
+    using member = schedule_member;
+    using process = schedule_process;
 
-    static base::target_id target(int i)
-    {
-        return base::target_id("t" + std::to_string(i));
-    }
     event_time time() const { return {now_, now_}; }
     base::duration delay(int most) { return base::duration(random_.between(1, most)); }
     void later(base::instant at, std::function<void()> action)
@@ -153,6 +139,7 @@
             const std::size_t index = one.applied++;
             const apply_result result =
                 one.state.apply(base::log_index(index + 1), log_[index]);
+            committed_.note(one.state.current());
             one.leader->on_applied(result, time());
         }
     }
@@ -183,8 +170,8 @@
         if (output.confirm_read) {
             confirm(number, *output.confirm_read);
         }
-        for (auto& message : output.messages) {
-            send_down(number, std::move(message));
+        for (const auto& message : output.messages) {
+            send_down(number, message);
         }
     }
     void confirm(std::size_t number, std::uint64_t round)
@@ -197,23 +184,29 @@
             drain(number);
         });
     }
-    void send_down(std::size_t number, session_message message)
+    void send_down(std::size_t number, const session_message& message)
     {
         process* to = process_of(number, message.session);
-        if (to == nullptr || !to->running || now_ < to->cut_until) {
+        const bool lost = faults_ && random_.chance(0.01);
+        if (to == nullptr || !to->running || now_ < to->cut_until || lost) {
             return;
         }
+        if (faults_ && random_.chance(0.02)) {
+            // A repeated message, which arrives out of order too.
+            later(now_ + delay(500), [=, this] { arrive(number, message); });
+        }
         to->in_order_down = std::max(to->in_order_down, now_ + delay(40));
-        later(to->in_order_down, [this, number, session = message.session,
-                                  frame = std::move(message.frame)] {
-            process* receiver = process_of(number, session);
-            if (receiver != nullptr && receiver->running) {
-                receiver->vm->receive(frame);
-                if (!receiver->vm->refused) {
-                    receiver->last_grant = now_;
-                }
+        later(to->in_order_down, [=, this] { arrive(number, message); });
+    }
+    void arrive(std::size_t number, const session_message& message)
+    {
+        process* receiver = process_of(number, message.session);
+        if (receiver != nullptr && receiver->running) {
+            receiver->vm->receive(message.frame);
+            if (!receiver->vm->refused) {
+                receiver->last_grant = now_;
             }
-        });
+        }
     }
     process* process_of(std::size_t number, session_number session)
     {
@@ -351,6 +344,12 @@
     }
     void check()
     {
+        for (const process& one : processes_) {
+            if (!committed_.has(one.vm->known()) && violation_.empty()) {
+                violation_ =
+                    one.vm->vm().str() + " has a revision that was not committed";
+            }
+        }
         for (int i = 0; i < targets && violation_.empty(); ++i) {
             const auto found = holders(target(i));
             if (found.size() > 1) {
@@ -392,6 +391,7 @@
     std::uint64_t last_run_ = 0;
     session_number last_session_ = 0;
     std::map<base::target_id, base::instant> out_since_;
+    committed_configurations committed_;
     std::string violation_;
 };
 
--- a/curranthoist/control/lease_controller.cpp
+++ b/curranthoist/control/lease_controller.cpp
@@ -102,13 +102,19 @@
     return rules_.wait_for_expiry ? expiry_wait : broken_wait;
 }
 
-bool lease_controller::is_expired(const base::vm_id& vm, base::incarnation run,
-                                  base::instant now) const
+base::instant lease_controller::expires_at(const base::vm_id& vm,
+                                           base::incarnation run) const
 {
     const auto found = processes_.find(process(vm, run));
     const base::instant heard =
         found == processes_.end() ? elected_ : std::max(elected_, found->second.heard);
-    return now - heard >= wait();
+    return heard + wait();
+}
+
+bool lease_controller::is_expired(const base::vm_id& vm, base::incarnation run,
+                                  base::instant now) const
+{
+    return now >= expires_at(vm, run);
 }
 
 bool lease_controller::is_heard(const base::vm_id& vm, base::incarnation run,
--- a/curranthoist/control/lease_controller.hpp
+++ b/curranthoist/control/lease_controller.hpp
@@ -74,6 +74,16 @@
     // Whether the lease that the process may hold has run out.
     [[nodiscard]] bool is_expired(const base::vm_id& vm, base::incarnation run,
                                   base::instant now) const;
+    // When is_expired() becomes true if no further heartbeat arrives.
+    [[nodiscard]] base::instant expires_at(const base::vm_id& vm,
+                                           base::incarnation run) const;
+    // When is_heard() becomes false if no further heartbeat arrives; the process must be
+    // heard now.
+    [[nodiscard]] base::instant heard_until(const base::vm_id& vm,
+                                            base::incarnation run) const
+    {
+        return processes_.at(process(vm, run)).heard + expiry_wait;
+    }
     // Whether the process sent a heartbeat within the expiry wait.
     [[nodiscard]] bool is_heard(const base::vm_id& vm, base::incarnation run,
                                 base::instant now) const;
--- a/curranthoist/control/roster.cpp
+++ b/curranthoist/control/roster.cpp
@@ -47,7 +47,12 @@
         if (known != entries_.end() && same(known->second.fact, fact)) {
             continue;
         }
+        const std::optional<placement> before = newest(target);
         entries_[target] = entry{std::move(fact), ++sequence_};
+        const std::optional<placement> after = newest(target);
+        const bool moved = before && after ? before->shard != after->shard
+                                           : before.has_value() != after.has_value();
+        placement_changes_ += moved ? 1 : 0;
         changed = true;
     }
     return changed;
@@ -94,6 +99,7 @@
 {
     entries_.clear();
     sequence_ = 0;
+    ++placement_changes_;
 }
 
 } // namespace curranthoist::control
--- a/curranthoist/control/roster.hpp
+++ b/curranthoist/control/roster.hpp
@@ -39,6 +39,8 @@
 
     // Rises with each change; 0 means that the roster is empty.
     [[nodiscard]] std::uint64_t sequence() const { return sequence_; }
+    // Rises when a target's newest snapshot has another shard than before.
+    [[nodiscard]] std::uint64_t placement_changes() const { return placement_changes_; }
     // The facts that changed after `since`. `full` marks it as the whole roster.
     [[nodiscard]] wire::roster_update_message update(std::uint64_t since,
                                                      bool full) const;
@@ -56,6 +58,7 @@
 private:
     std::map<base::target_id, entry> entries_;
     std::uint64_t sequence_ = 0;
+    std::uint64_t placement_changes_ = 0;
 };
 
 } // namespace curranthoist::control
--- a/curranthoist/control/simulated_vm_test.hpp
+++ b/curranthoist/control/simulated_vm_test.hpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/control/configuration.hpp"
 #include "curranthoist/control/configuration_codec.hpp"
+#include "curranthoist/control/configuration_delta.hpp"
 #include "curranthoist/control/controller_output.hpp"
 #include "curranthoist/control/lease_controller.hpp"
 #include "curranthoist/wire/frame_codec.hpp"
@@ -66,6 +67,11 @@
                 known_ = std::move(value);
             }
         }
+        if (const auto* delta = message->body_as_configuration_delta()) {
+            const std::unique_ptr<wire::configuration_delta_message> unpacked(
+                delta->UnPack());
+            apply(known_, from_message(*unpacked));
+        }
     }
     [[nodiscard]] bool has_lease(base::instant now) const { return now < lease_until_; }
     // Whether it may send to the target at `now`.
--- a/curranthoist/entry/control_session.cpp
+++ b/curranthoist/entry/control_session.cpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/findings_error.hpp"
 #include "curranthoist/control/configuration_codec.hpp"
+#include "curranthoist/control/configuration_delta.hpp"
 
 #include <utility>
 
@@ -202,6 +203,9 @@
     case wire::message::configuration_update:
         on_update(*message.body_as_configuration_update());
         break;
+    case wire::message::configuration_delta:
+        on_delta(*message.body_as_configuration_delta());
+        break;
     case wire::message::roster_update:
         on_roster_update(*message.body_as_roster_update());
         break;
@@ -278,6 +282,30 @@
         leave("configuration can't be read: " + std::string(error.what()));
         return;
     }
+    on_revision_applied();
+}
+
+void control_session::on_delta(const wire::configuration_delta& message)
+{
+    // Without the base it is ignored; the leader learns of that by the applied revision
+    // in the next heartbeats and sends what is missing.
+    if (message.base() != configuration_.number.value()) {
+        return;
+    }
+    try {
+        wire::configuration_delta_message unpacked;
+        message.UnPackTo(&unpacked);
+        control::apply(configuration_, control::from_message(unpacked));
+    }
+    catch (const base::findings_error& error) {
+        leave("configuration delta can't be read: " + std::string(error.what()));
+        return;
+    }
+    on_revision_applied();
+}
+
+void control_session::on_revision_applied()
+{
     log_.info("applied revision " + std::to_string(configuration_.number.value()));
     forget_confirmed_releases();
     heartbeat_due_ = clock_.now();
--- a/curranthoist/entry/control_session.hpp
+++ b/curranthoist/entry/control_session.hpp
@@ -119,6 +119,8 @@
     void on_hello(const wire::hello& message);
     void on_reply(const wire::heartbeat_reply& message);
     void on_update(const wire::configuration_update& message);
+    void on_delta(const wire::configuration_delta& message);
+    void on_revision_applied();
     void on_roster_update(const wire::roster_update& message);
     void follow_hint(const wire::heartbeat_reply& message);
     void forget_confirmed_releases();
--- a/curranthoist/entry/control_session_test.cpp
+++ b/curranthoist/entry/control_session_test.cpp
@@ -1,4 +1,5 @@
 #include "curranthoist/control/configuration_codec.hpp"
+#include "curranthoist/control/configuration_delta.hpp"
 #include "curranthoist/entry/control_session.hpp"
 #include "curranthoist/entry/fake_peer_test.hpp"
 #include "curranthoist/entry/peer_link.hpp"
@@ -106,6 +107,29 @@
     EXPECT_EQ(configurations_, before + 1);
 }
 
+// R10: a delta that is repeated or whose base is missing must change nothing.
+TEST_F(control_session_test, applies_a_delta_on_its_own_base_only)
+{
+    const auto delta = [](std::uint64_t base, std::uint64_t revision) {
+        control::configuration_delta value;
+        value.base = base::revision(base);
+        value.changed.number = base::revision(revision);
+        value.changed.zones[base::zone_id("z" + std::to_string(revision))] = {};
+        return control::to_message(value);
+    };
+    fake_peer leader(loop_, first_address);
+    grant(leader, 5);
+    const control_session& session = start({first_address});
+    ASSERT_TRUE(run_until(loop_, [&] { return session.lease_valid(); }));
+    for (const auto& [base, revision] : {std::pair(5, 7), {5, 7}, {6, 9}, {7, 8}}) {
+        leader.send(delta(base, revision));
+    }
+    EXPECT_TRUE(run_until(
+        loop_, [&] { return session.configuration().number == base::revision(8); }));
+    EXPECT_EQ(session.configuration().zones.size(), 2U);
+    EXPECT_FALSE(session.configuration().zones.contains(base::zone_id("z9")));
+}
+
 // R7: an order whose claim is answered by nobody must learn that the answer is lost, and
 // one without a session that nothing was asked.
 TEST_F(control_session_test, reports_a_claim_without_an_answer_as_lost)
--- a/curranthoist/testing/capacity/fleet_model.cpp
+++ b/curranthoist/testing/capacity/fleet_model.cpp
@@ -168,14 +168,24 @@
             envelope->body_as_configuration_update()) {
         wire::configuration_update_message whole;
         update->UnPackTo(&whole);
+        traffic_.configuration_bytes += message.frame.size();
         apply_configuration(vms_[found->second], *whole.value);
     }
+    else if (const wire::configuration_delta* delta =
+                 envelope->body_as_configuration_delta()) {
+        traffic_.configuration_bytes += message.frame.size();
+        apply_delta(vms_[found->second], *delta);
+    }
+    else if (envelope->body_as_roster_update() != nullptr) {
+        traffic_.roster_bytes += message.frame.size();
+    }
 }
 
 void fleet_model::apply_configuration(vm_model& vm,
                                       const wire::configuration_message& value)
 {
     vm.applied_revision = value.revision;
+    vm.heartbeat_due = true;
     for (const auto& entry : value.assignments) {
         const bool own = entry->owner == vm.id.str();
         if (own && entry->phase == wire::assignment_phase::releasing) {
@@ -184,6 +194,16 @@
     }
 }
 
+void fleet_model::apply_delta(vm_model& vm, const wire::configuration_delta& delta)
+{
+    if (delta.base() != vm.applied_revision) {
+        return;
+    }
+    wire::configuration_delta_message unpacked;
+    delta.UnPackTo(&unpacked);
+    apply_configuration(vm, *unpacked.changed);
+}
+
 void fleet_model::open_session(vm_model& vm)
 {
     vm.session = next_session_++;
@@ -200,21 +220,33 @@
                                   *wire::verified_envelope(body)->body_as_hello(), now());
 }
 
+void fleet_model::fill_facts(const vm_model& vm, wire::heartbeat_message& heartbeat) const
+{
+    for (const auto& [target, one] : state_.current().assignments) {
+        if (one.owner != vm.id) {
+            continue;
+        }
+        heartbeat.facts.push_back(fact_of(target.str()));
+        if (!vm.report_facts) {
+            heartbeat.facts.back()->cold = vm.cold;
+            return;
+        }
+    }
+}
+
 void fleet_model::send_heartbeat(vm_model& vm)
 {
     wire::heartbeat_message heartbeat;
     heartbeat.sequence = ++vm.sequence;
     heartbeat.applied_revision = vm.applied_revision;
     heartbeat.full_facts = true;
-    if (vm.report_facts) {
-        for (const auto& [target, one] : state_.current().assignments) {
-            if (one.owner == vm.id) {
-                heartbeat.facts.push_back(fact_of(target.str()));
-            }
-        }
+    if (vm.report_facts || vm.report_one_fact) {
+        fill_facts(vm, heartbeat);
     }
     heartbeat.full_facts = vm.report_facts;
     vm.report_facts = false;
+    vm.report_one_fact = false;
+    vm.heartbeat_due = false;
     for (const auto& [target, fence] : vm.to_release) {
         auto released = std::make_unique<wire::released_target_message>();
         released->target = target;
@@ -236,7 +268,8 @@
     while (time_ < end) {
         const std::int64_t phase = time_.count() / step.count() % phases;
         for (std::size_t i = 0; i < vms_.size(); ++i) {
-            const bool due = static_cast<std::int64_t>(i) % phases == phase;
+            const bool due =
+                vms_[i].heartbeat_due || static_cast<std::int64_t>(i) % phases == phase;
             if (due && vms_[i].alive) {
                 send_heartbeat(vms_[i]);
             }
@@ -325,7 +358,8 @@
     control::encoded::intent_message value;
     value.kind = control::encoded::intent_kind::set_limit;
     value.subject = "service-0";
-    value.slots = 2 + static_cast<std::uint32_t>(next_intent_ % 2);
+    changed_limit_ = !changed_limit_;
+    value.slots = changed_limit_ ? 3 : 2;
     control::encoded::operator_intent_message command;
     command.intent_id = "intent-" + std::to_string(next_intent_++);
     command.operator_name = "capacity";
@@ -335,6 +369,13 @@
     settle();
 }
 
+void fleet_model::change_fact(std::size_t number)
+{
+    vm_model& vm = vms_.at(number);
+    vm.report_one_fact = true;
+    vm.cold = !vm.cold;
+}
+
 std::size_t fleet_model::heartbeat_bytes() const
 {
     wire::heartbeat_message heartbeat;
--- a/curranthoist/testing/capacity/fleet_model.hpp
+++ b/curranthoist/testing/capacity/fleet_model.hpp
@@ -26,11 +26,15 @@
     std::uint64_t messages = 0;
     std::uint64_t commands = 0;
     std::uint64_t command_bytes = 0;
+    // Parts of `bytes`.
+    std::uint64_t configuration_bytes = 0;
+    std::uint64_t roster_bytes = 0;
 };
 
 // The control leader's pure code with its state, driven by VMs that send heartbeats every
-// 500 ms, apply what they receive at once and release what they are told to. There is no
-// network and no log: every command is committed at once and every quorum round succeeds.
+// 500 ms and after each applied revision, apply what they receive at once and release
+// what they are told to. There is no network and no log: every command is committed at
+// once and every quorum round succeeds.
 // It serves to measure processor time and bytes at a size, not to judge correctness.
 class fleet_model
 {
@@ -51,7 +55,11 @@
     void restart_vm(std::size_t number);
     // Applies an operator's change of one service's limits.
     void change_limit();
+    // The VM's next heartbeat reports that one of its targets turned cold or warm.
+    void change_fact(std::size_t number);
 
+    // Model time.
+    [[nodiscard]] base::instant time() const { return time_; }
     [[nodiscard]] const control::cluster_state& state() const { return state_; }
     [[nodiscard]] const control::controller& leader() const { return controller_; }
     [[nodiscard]] const control_traffic& traffic() const { return traffic_; }
@@ -72,6 +80,10 @@
         std::uint64_t sequence = 0;
         std::uint64_t applied_revision = 0;
         bool report_facts = true;
+        bool report_one_fact = false;
+        // A revision was applied, which the VM reports soon.
+        bool heartbeat_due = false;
+        bool cold = false;
         // Targets that this VM owned and was told to let go.
         std::map<std::string, std::uint64_t> to_release;
     };
@@ -82,7 +94,9 @@
     void settle();
     void deliver(const control::session_message& message);
     void apply_configuration(vm_model& vm, const wire::configuration_message& value);
+    void apply_delta(vm_model& vm, const wire::configuration_delta& delta);
     void open_session(vm_model& vm);
+    void fill_facts(const vm_model& vm, wire::heartbeat_message& heartbeat) const;
     void send_heartbeat(vm_model& vm);
     [[nodiscard]] bool all_assigned() const;
 
@@ -93,6 +107,7 @@
     std::map<control::session_number, std::size_t> by_session_;
     control::session_number next_session_ = 1;
     std::uint64_t next_intent_ = 1;
+    bool changed_limit_ = false;
     control_traffic traffic_;
 };
 
