Fit the control figures to the size of R30

Cause: the probe printed one size, without the bytes of the log, of roster updates and of memory, so nothing showed which figure grows out of proportion.

Ruled out: measuring at the size of R30 only; one size can't show a figure that is not linear.

Change: the probe splits the bytes to a VM into configuration and roster, and adds the log's bytes per change and per lost VM, the memory of the leader's state and of a VM's configuration and roster, and the time to settle after a loss.

--- a/curranthoist/testing/capacity/main.cpp
+++ b/curranthoist/testing/capacity/main.cpp
@@ -10,7 +10,12 @@
 #include <cstdio>
 #include <ctime>
 #include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
 
+#include <malloc.h>
 #include <sys/resource.h>
 
 // Measures the control leader's and the coordinator's pure code at one size and prints
@@ -60,79 +65,149 @@
     return best;
 }
 
-void measure_control(const fleet_size& size)
+// Bytes on the heap that are in use.
+double heap_bytes()
 {
-    fleet_model fleet(size);
-    const base::duration assigned = fleet.run_until_assigned(120_s);
-    print("first_assignment", assigned.seconds(), "s_model_time");
-    print("first_settling", fleet.run_until_settled(600_s).seconds(), "s_model_time");
-    print("first_settling_to_vm",
-          static_cast<double>(fleet.traffic().bytes) / static_cast<double>(size.vms),
-          "bytes_per_vm");
+    const struct mallinfo2 info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+double per_vm(std::uint64_t bytes, const fleet_size& size)
+{
+    return static_cast<double>(bytes) / static_cast<double>(size.vms);
+}
 
+// Returns the processor time of a second without changes.
+double measure_quiet(fleet_model& fleet, const fleet_size& size)
+{
     constexpr std::int64_t quiet_s = 20;
     fleet.reset_traffic();
     const double start = cpu_seconds();
     fleet.run(base::duration(quiet_s * 1000));
-    const double vms = static_cast<double>(size.vms);
-    print("leader_cpu_quiet", (cpu_seconds() - start) * 100 / quiet_s, "percent_of_core");
-    print("leader_to_vm_quiet",
-          static_cast<double>(fleet.traffic().bytes) / quiet_s / vms,
+    const double each = (cpu_seconds() - start) / quiet_s;
+    print("leader_cpu_quiet", each * 100, "percent_of_core");
+    print("leader_to_vm_quiet", per_vm(fleet.traffic().bytes, size) / quiet_s,
           "bytes_per_s_per_vm");
     print("vm_heartbeat", static_cast<double>(fleet.heartbeat_bytes()), "bytes");
+    return each;
+}
 
-    fleet.reset_traffic();
+void measure_changes(fleet_model& fleet, const fleet_size& size, double quiet)
+{
     constexpr int changes = 5;
-    const double before_changes = cpu_seconds();
+    fleet.reset_traffic();
+    const double start = cpu_seconds();
     for (int i = 0; i < changes; ++i) {
         fleet.change_limit();
+        fleet.run(1_s);
     }
-    print("change_leader_cpu", (cpu_seconds() - before_changes) * 1000 / changes, "ms");
-    print("change_to_vm", static_cast<double>(fleet.traffic().bytes) / changes / vms,
+    print("change_leader_cpu", ((cpu_seconds() - start) / changes - quiet) * 1000, "ms");
+    print("change_to_vm", per_vm(fleet.traffic().configuration_bytes, size) / changes,
           "bytes_per_vm");
-    fleet.run(5_s);
+    print("change_log", static_cast<double>(fleet.traffic().command_bytes) / changes,
+          "bytes");
 
     fleet.reset_traffic();
-    fleet.stop_vm(0);
-    const double before_loss = cpu_seconds();
-    const base::duration moved = fleet.run_until_assigned(60_s);
-    print("vm_loss_until_assigned", moved.seconds(), "s_model_time");
-    fleet.run_until_settled(600_s);
-    print("vm_loss_leader_cpu", (cpu_seconds() - before_loss) * 1000, "ms");
-    print("vm_loss_to_vm", static_cast<double>(fleet.traffic().bytes) / vms,
+    for (std::size_t i = 0; i < changes; ++i) {
+        fleet.change_fact(i);
+        fleet.run(1_s);
+    }
+    print("fact_change_to_vm", per_vm(fleet.traffic().roster_bytes, size) / changes,
           "bytes_per_vm");
-    print("vm_loss_commands", static_cast<double>(fleet.traffic().commands), "count");
+}
 
+void print_moves(const std::string& name, const fleet_model& fleet,
+                 const fleet_size& size)
+{
+    const control_traffic& traffic = fleet.traffic();
+    print((name + "_configuration_to_vm").c_str(),
+          per_vm(traffic.configuration_bytes, size), "bytes_per_vm");
+    print((name + "_roster_to_vm").c_str(), per_vm(traffic.roster_bytes, size),
+          "bytes_per_vm");
+    print((name + "_commands").c_str(), static_cast<double>(traffic.commands), "count");
+    print((name + "_log").c_str(), static_cast<double>(traffic.command_bytes), "bytes");
+}
+
+void measure_loss(fleet_model& fleet, const fleet_size& size, double quiet)
+{
     fleet.reset_traffic();
+    fleet.stop_vm(0);
+    base::instant begin = fleet.time();
+    double start = cpu_seconds();
+    const auto extra_ms = [&] {
+        const double span = (fleet.time() - begin).seconds();
+        return (cpu_seconds() - start - quiet * span) * 1000;
+    };
+    print("vm_loss_until_assigned", fleet.run_until_assigned(60_s).seconds(),
+          "s_model_time");
+    print("vm_loss_settling", fleet.run_until_settled(600_s).seconds(), "s_model_time");
+    print("vm_loss_leader_cpu", extra_ms(), "ms");
+    print_moves("vm_loss", fleet, size);
+
+    fleet.reset_traffic();
+    begin = fleet.time();
+    start = cpu_seconds();
     fleet.restart_vm(0);
-    const double before_return = cpu_seconds();
     print("vm_return_settling", fleet.run_until_settled(600_s).seconds(), "s_model_time");
-    print("vm_return_leader_cpu", (cpu_seconds() - before_return) * 1000, "ms");
-    print("vm_return_to_vm", static_cast<double>(fleet.traffic().bytes) / vms,
-          "bytes_per_vm");
+    print("vm_return_leader_cpu", extra_ms(), "ms");
+    print_moves("vm_return", fleet, size);
+}
 
-    const std::vector<std::uint8_t> snapshot = fleet.state().snapshot();
-    print("state_snapshot", static_cast<double>(snapshot.size()), "bytes");
-    print("state_snapshot_encode",
-          microseconds_of(3, [&] { static_cast<void>(fleet.state().snapshot()); }), "us");
+// What one VM keeps of the configuration and the roster.
+void measure_vm_memory(const fleet_model& fleet)
+{
     const control::configuration& current = fleet.state().current();
     wire::configuration_update_message update;
     update.value =
         std::make_unique<wire::configuration_message>(control::to_message(current));
     const std::vector<std::uint8_t> frame = wire::encode_frame(std::move(update));
     print("configuration", static_cast<double>(frame.size()), "bytes");
-    print("configuration_apply",
-          microseconds_of(
-              3,
-              [&] {
-                  const std::vector<std::uint8_t> body(
-                      frame.begin() + wire::frame_prefix_bytes, frame.end());
-                  wire::configuration_update_message unpacked;
-                  wire::verified_envelope(body)->body_as_configuration_update()->UnPackTo(
-                      &unpacked);
-                  static_cast<void>(control::from_message(*unpacked.value));
-              }),
+    const auto decode = [&frame] {
+        const std::vector<std::uint8_t> body(frame.begin() + wire::frame_prefix_bytes,
+                                             frame.end());
+        wire::configuration_update_message unpacked;
+        wire::verified_envelope(body)->body_as_configuration_update()->UnPackTo(
+            &unpacked);
+        return control::from_message(*unpacked.value);
+    };
+    print("configuration_apply", microseconds_of(3, [&] { static_cast<void>(decode()); }),
           "us");
+    double before = heap_bytes();
+    const control::configuration held = decode();
+    print("vm_configuration_memory", heap_bytes() - before, "bytes");
+    before = heap_bytes();
+    const std::map<base::target_id, control::roster::entry> facts =
+        fleet.leader().facts().entries();
+    print("vm_roster_memory", heap_bytes() - before, "bytes");
+    const auto roster = fleet.leader().facts().update(0, true);
+    print("roster", static_cast<double>(wire::encode_frame(roster).size()), "bytes");
+}
+
+void measure_state(const fleet_model& fleet)
+{
+    const std::vector<std::uint8_t> snapshot = fleet.state().snapshot();
+    print("state_snapshot", static_cast<double>(snapshot.size()), "bytes");
+    print("state_snapshot_encode",
+          microseconds_of(3, [&] { static_cast<void>(fleet.state().snapshot()); }), "us");
+    const double before = heap_bytes();
+    const control::cluster_state copy = control::cluster_state::restore(snapshot);
+    print("leader_state_memory", heap_bytes() - before, "bytes");
+}
+
+void measure_control(const fleet_size& size)
+{
+    const double before = heap_bytes();
+    fleet_model fleet(size);
+    print("first_assignment", fleet.run_until_assigned(120_s).seconds(), "s_model_time");
+    print("first_settling", fleet.run_until_settled(600_s).seconds(), "s_model_time");
+    print("first_settling_to_vm", per_vm(fleet.traffic().bytes, size), "bytes_per_vm");
+    const double quiet = measure_quiet(fleet, size);
+    // The replicated state, the controller and, smaller, the modelled VMs.
+    print("leader_memory", heap_bytes() - before, "bytes");
+    measure_changes(fleet, size, quiet);
+    measure_loss(fleet, size, quiet);
+    measure_state(fleet);
+    measure_vm_memory(fleet);
 }
 
 routing::shard_map::fact_map facts_of(const control::configuration& current)
