Give each test process loopback addresses of its own

Cause: ctest runs the tests of one program in parallel processes, and ten tests of replica_host, control_session and peer_link listened on the same addresses. Ruled out: serial runs, which would hide the next such test. Change: the address that process_fixture derived from the process id is now testing::loopback_address, used by all tests that listen on a known port.

--- a/curranthoist/consensus/replica_host_test.cpp
+++ b/curranthoist/consensus/replica_host_test.cpp
@@ -1,4 +1,5 @@
 #include "curranthoist/consensus/replica_host.hpp"
+#include "curranthoist/testing/loopback.hpp"
 #include "curranthoist/wire/peer_dialer.hpp"
 
 #include <gtest/gtest.h>
@@ -33,10 +34,11 @@
     std::vector<std::uint8_t> bytes_;
 };
 
-constexpr std::uint16_t first_port = 38541;
+constexpr std::uint16_t first_port = 7100;
+const std::string testing_address = testing::loopback_address(1);
 constexpr double wait_limit_s = 10.0;
 
-class replica_host_test : public testing::Test
+class replica_host_test : public ::testing::Test
 {
 protected:
     struct running
@@ -53,7 +55,7 @@
 
     void SetUp() override
     {
-        std::string pattern = testing::TempDir() + "replica_host_test_XXXXXX";
+        std::string pattern = ::testing::TempDir() + "replica_host_test_XXXXXX";
         ASSERT_NE(::mkdtemp(pattern.data()), nullptr);
         root_ = pattern;
         std::vector<member> initial;
@@ -77,7 +79,7 @@
     }
     static base::endpoint address(std::size_t i)
     {
-        return {"127.0.0.1", static_cast<std::uint16_t>(first_port + i)};
+        return {testing_address, static_cast<std::uint16_t>(first_port + i)};
     }
     [[nodiscard]] std::string folder(std::size_t i) const
     {
--- a/curranthoist/entry/control_session_test.cpp
+++ b/curranthoist/entry/control_session_test.cpp
@@ -2,14 +2,15 @@
 #include "curranthoist/entry/control_session.hpp"
 #include "curranthoist/entry/fake_peer_test.hpp"
 #include "curranthoist/entry/peer_link.hpp"
+#include "curranthoist/testing/loopback.hpp"
 
 #include <gtest/gtest.h>
 
 namespace curranthoist::entry {
 namespace {
 
-const base::endpoint first_address{"127.21.0.1", 7100};
-const base::endpoint second_address{"127.21.0.2", 7100};
+const base::endpoint first_address{testing::loopback_address(1), 7100};
+const base::endpoint second_address{testing::loopback_address(2), 7100};
 
 wire::heartbeat_reply_message reply_to(const wire::heartbeat& heartbeat,
                                        std::uint64_t revision)
@@ -31,7 +32,7 @@
     return update;
 }
 
-class control_session_test : public testing::Test
+class control_session_test : public ::testing::Test
 {
 protected:
     // Makes the peer a leader that grants every heartbeat.
@@ -123,7 +124,7 @@
     EXPECT_TRUE(run_until(loop_, [&] { return lost == 1; }));
 }
 
-class peer_link_test : public testing::Test
+class peer_link_test : public ::testing::Test
 {
 protected:
     peer_link_test()
--- a/curranthoist/testing/process_fixture.cpp
+++ b/curranthoist/testing/process_fixture.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/testing/process_fixture.hpp"
 
 #include "curranthoist/http/target_client.hpp"
+#include "curranthoist/testing/loopback.hpp"
 
 #include <ev++.h>
 
@@ -44,13 +45,7 @@
 
 std::string process_fixture::new_address()
 {
-    // 127.a.b.c with the process id in a and b. 127.0 and 127.255 are left to others.
-    constexpr unsigned byte = 256;
-    constexpr unsigned usable = 254;
-    const auto id = static_cast<unsigned>(::getpid());
-    ++last_address_;
-    return "127." + std::to_string(1 + id / byte % usable) + "." +
-           std::to_string(id % byte) + "." + std::to_string(last_address_);
+    return loopback_address(++last_address_);
 }
 
 child_process& process_fixture::start(std::string_view program,
--- a/curranthoist/wire/wire_test.cpp
+++ b/curranthoist/wire/wire_test.cpp
@@ -1,3 +1,4 @@
+#include "curranthoist/testing/loopback.hpp"
 #include "curranthoist/wire/peer_connection.hpp"
 #include "curranthoist/wire/peer_dialer.hpp"
 #include "curranthoist/wire/peer_listener.hpp"
@@ -17,7 +18,7 @@
 constexpr double run_limit_s = 5.0;
 
 // Two connected sockets with a peer_connection on one of them.
-class peer_connection_test : public testing::Test
+class peer_connection_test : public ::testing::Test
 {
 protected:
     void SetUp() override
@@ -135,7 +136,7 @@
 TEST(peer_dialer_test, connects_again_after_the_peer_closes)
 {
     ev::dynamic_loop loop;
-    const base::endpoint local{"127.0.0.1", 38517};
+    const base::endpoint local{testing::loopback_address(1), 7000};
     int accepted = 0;
     const peer_listener listener(loop, local, [&](int descriptor) {
         ++accepted;
