Serve connections that wait to be accepted when a stop begins

Cause: one caller in 135 lost its connection in scripts/demo during SIGTERM. Closing the listening socket makes the kernel reset the connections in its queue, whose requests may be on the way. Ruled out: the stop ending too early, since the broken request came before the process exited and the stop waits for open requests. Change: after the daemon gives the listener back, the server accepts what waits and hands it to the daemon before it closes the socket. A caller that connects between the last accept and the close, microseconds later, can still be reset; the balancer sends none after the delay.

--- a/curranthoist/http/caller_server.cpp
+++ b/curranthoist/http/caller_server.cpp
@@ -191,8 +191,29 @@
     }
     accepting_ = false;
     const MHD_socket listener = MHD_quiesce_daemon(daemon_);
-    if (listener != MHD_INVALID_SOCKET) {
-        ::close(listener);
+    if (listener == MHD_INVALID_SOCKET) {
+        return;
+    }
+    take_waiting_connections(listener);
+    ::close(listener);
+    run_daemon();
+}
+
+// Closing a listening socket resets the connections in the kernel's queue, whose callers
+// may have sent a request already.
+void caller_server::take_waiting_connections(int listener)
+{
+    for (unsigned i = 0; i < options_.max_connections; ++i) {
+        sockaddr_in address{};
+        socklen_t size = sizeof address;
+        auto* generic = reinterpret_cast<sockaddr*>(&address);
+        const int accepted =
+            ::accept4(listener, generic, &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted < 0) {
+            return;
+        }
+        // The daemon owns the socket from here on, also if it refuses it.
+        MHD_add_connection(daemon_, accepted, generic, size);
     }
 }
 
--- a/curranthoist/http/caller_server.hpp
+++ b/curranthoist/http/caller_server.hpp
@@ -82,6 +82,7 @@
 
     void start_daemon();
     void run_daemon();
+    void take_waiting_connections(int listener);
     void on_daemon_event(ev::io& watcher, int events);
     void on_daemon_timer(ev::timer& watcher, int events);
     void on_peer_close_event(ev::io& watcher, int events);
--- a/curranthoist/http/caller_server_test.cpp
+++ b/curranthoist/http/caller_server_test.cpp
@@ -187,6 +187,18 @@
     EXPECT_EQ(server_->open_requests(), 0U);
 }
 
+TEST_F(caller_server_test, a_stop_resets_no_connection_that_waits_to_be_accepted)
+{
+    start();
+    // The loop has not run since this connect, so the connection is in the kernel's queue.
+    raw_peer waiting(server_->local());
+    server_->stop_accepting();
+    waiting.send(get_request);
+    ASSERT_TRUE(receives(1));
+    EXPECT_TRUE(answers_[0].respond({.body = "served"}));
+    EXPECT_TRUE(reads(waiting, "served"));
+}
+
 TEST_F(caller_server_test, connections_over_the_limit_are_closed)
 {
     options_.max_connections = 1;
