--- a/curranthoist/entry/answers.cpp
+++ b/curranthoist/entry/answers.cpp
@@ -73,6 +73,15 @@
     return response;
 }
 
+unsigned refusal_status(base::duration time_left)
+{
+    // Answers leave up to 15 ms before the deadline, and the loop may be late by a turn.
+    constexpr base::duration answer_margin{20};
+    constexpr unsigned unavailable = 503;
+    constexpr unsigned gateway_timeout = 504;
+    return time_left <= answer_margin ? gateway_timeout : unavailable;
+}
+
 http::caller_response refusal_answer(const base::request_id& id, const refusal& why)
 {
     const bool not_run = why.outcome == request_outcome::not_run;
--- a/curranthoist/entry/deployment_fixture_test.cpp
+++ b/curranthoist/entry/deployment_fixture_test.cpp
@@ -11,7 +11,7 @@
 std::string deployment_fixture::write_file(const std::string& name,
                                            const std::string& text)
 {
-    const std::string path = folder() + "/" + name;
+    std::string path = folder() + "/" + name;
     std::ofstream(path) << text;
     return path;
 }
--- a/curranthoist/entry/filters/filter_chain.cpp
+++ b/curranthoist/entry/filters/filter_chain.cpp
@@ -30,7 +30,7 @@
 
 bool is_plain(char letter)
 {
-    constexpr char first_printable = '!';
+    constexpr char first_printable = ' ';
     constexpr char last_printable = '~';
     return letter >= first_printable && letter <= last_printable;
 }
--- a/curranthoist/entry/order_task.cpp
+++ b/curranthoist/entry/order_task.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-constexpr unsigned unavailable = 503;
-constexpr unsigned gateway_timeout = 504;
-
 const char* outcome_name(execution::order_outcome outcome)
 {
     switch (outcome) {
@@ -141,7 +138,8 @@
         caller_.respond(order_answer(request_.id, request_.service, action.body));
         return;
     }
-    const refusal why{not_run ? unavailable : gateway_timeout, std::string(action.text),
+    const refusal why{refusal_status(request_.deadline - clock_.now()),
+                      std::string(action.text),
                       not_run ? request_outcome::not_run : request_outcome::unknown};
     caller_.respond(refusal_answer(request_.id, why));
 }
--- a/curranthoist/entry/query_task.cpp
+++ b/curranthoist/entry/query_task.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-constexpr unsigned unavailable = 503;
-constexpr unsigned gateway_timeout = 504;
-
 routing::scatter_options options_of(std::uint64_t number, const admitted_request& request)
 {
     routing::scatter_options options;
@@ -156,7 +153,7 @@
     }
     else {
         count(result.not_run ? "not_run" : "unknown");
-        const refusal why{result.not_run ? unavailable : gateway_timeout, result.text,
+        const refusal why{refusal_status(request_.deadline - clock_.now()), result.text,
                           result.not_run ? request_outcome::not_run
                                          : request_outcome::unknown};
         caller_.respond(refusal_answer(request_.id, why));
--- a/curranthoist/entry/target_task.cpp
+++ b/curranthoist/entry/target_task.cpp
@@ -183,10 +183,10 @@
                     {"Content-Type", "application/json"}};
     call.body = *entry.request.body;
     call.fresh_connection = action.fresh && entry.request.order;
-    entry.sent = client_->start(std::move(call),
-                                [this, number = action.call](http::target_result result) {
-                                    on_result(number, result);
-                                });
+    entry.sent = client_->start(
+        std::move(call), [this, number = action.call](const http::target_result& result) {
+            on_result(number, result);
+        });
 }
 
 void target_task::refuse_expired(std::uint64_t call)
@@ -200,6 +200,11 @@
 
 void target_task::perform(const admission::reject_call& action)
 {
+    const auto found = calls_.find(action.call);
+    if (found != calls_.end() && log_.info_enabled()) {
+        log_.info("request " + found->second.request.key + ": refused at target " +
+                  id_.str() + ": " + std::string(action.text));
+    }
     target_answer value;
     value.status = status_of(action.reason);
     value.not_run = true;
@@ -339,7 +344,7 @@
     call.time_limit = poll_interval;
     call.max_body_bytes = max_status_bytes;
     poll_client_->start(std::move(call),
-                        [this](http::target_result result) { on_status(result); });
+                        [this](const http::target_result& result) { on_status(result); });
 }
 
 void target_task::on_status(const http::target_result& result)
