--- a/curranthoist/consensus/replica_host_test.cpp
+++ b/curranthoist/consensus/replica_host_test.cpp
@@ -1,5 +1,5 @@
 #include "curranthoist/consensus/replica_host.hpp"
-
+#include "curranthoist/testing/loopback.hpp"
 #include "curranthoist/wire/peer_dialer.hpp"
 
 #include <gtest/gtest.h>
@@ -34,10 +34,11 @@
     std::vector<std::uint8_t> bytes_;
 };
 
-constexpr std::uint16_t first_port = 38541;
+constexpr std::uint16_t first_port = 7100;
+const std::string testing_address = testing::loopback_address(1);
 constexpr double wait_limit_s = 10.0;
 
-class replica_host_test : public testing::Test
+class replica_host_test : public ::testing::Test
 {
 protected:
     struct running
@@ -54,7 +55,7 @@
 
     void SetUp() override
     {
-        std::string pattern = testing::TempDir() + "replica_host_test_XXXXXX";
+        std::string pattern = ::testing::TempDir() + "replica_host_test_XXXXXX";
         ASSERT_NE(::mkdtemp(pattern.data()), nullptr);
         root_ = pattern;
         std::vector<member> initial;
@@ -78,9 +79,12 @@
     }
     static base::endpoint address(std::size_t i)
     {
-        return {"127.0.0.1", static_cast<std::uint16_t>(first_port + i)};
+        return {testing_address, static_cast<std::uint16_t>(first_port + i)};
+    }
+    [[nodiscard]] std::string folder(std::size_t i) const
+    {
+        return root_ + "/" + id(i).str();
     }
-    [[nodiscard]] std::string folder(std::size_t i) const { return root_ + "/" + id(i).str(); }
     void initialise(std::size_t i, const std::vector<storage::log_entry>& first)
     {
         std::filesystem::create_directory(folder(i));
@@ -109,16 +113,17 @@
     // Runs the loop until the condition holds; fails the test after a limit.
     void wait_for(const std::function<bool()>& condition)
     {
-        bool over = false;
-        const std::function<void()> on_limit = [&over] { over = true; };
         ev::timer limit(loop_);
         limit.set<replica_host_test, &replica_host_test::on_timer>(this);
         limit.start(wait_limit_s);
         limit_reached_ = false;
-        while (!condition() && !limit_reached_) {
+        // The condition is not evaluated again after it held: it may start something.
+        bool holds = condition();
+        while (!holds && !limit_reached_) {
             loop_.run(ev::ONCE);
+            holds = condition();
         }
-        EXPECT_TRUE(condition()) << "condition did not hold before the limit";
+        EXPECT_TRUE(holds) << "condition did not hold before the limit";
     }
     void on_timer(ev::timer& /*watcher*/, int /*events*/) { limit_reached_ = true; }
 
