--- a/curranthoist/entry/service_registry.cpp
+++ b/curranthoist/entry/service_registry.cpp
@@ -24,13 +24,19 @@
     return *routing::configured_hedging::named(policies.hedging ? "p95" : "none");
 }
 
-admission::query_limiter_options limits_of(const control::configuration* configuration,
+admission::query_limiter_options limits_of(const settings::policy_settings& policies,
+                                           const control::configuration* configuration,
                                            const base::service_id& service)
 {
     // A service that demands complete coverage refuses a query for one shed part, so its
     // limit falls at a fifth of the usual share of shed parts.
     constexpr double strict_shed_share = 0.02;
     admission::query_limiter_options options;
+    if (!policies.admission) {
+        // The baseline without admission: the limit never falls.
+        options.first_limit = options.highest_limit;
+        options.lowest_limit = options.highest_limit;
+    }
     if (configuration != nullptr) {
         const auto found = configuration->services.find(service);
         if (found != configuration->services.end() && found->second.demand_complete) {
@@ -110,10 +116,10 @@
 {
     std::unique_ptr<service_state>& state = states_[service];
     if (!state) {
-        state = std::make_unique<service_state>(
-            service_state{routing::scatter_context<>(random_, choice_of(policies_),
-                                                     hedging_of(policies_)),
-                          admission::query_limiter(limits_of(configuration_, service))});
+        state = std::make_unique<service_state>(service_state{
+            routing::scatter_context<>(random_, choice_of(policies_),
+                                       hedging_of(policies_)),
+            admission::query_limiter(limits_of(policies_, configuration_, service))});
         state->context.lost_owners = lost_;
     }
     return *state;
