--- a/curranthoist/entry/answers.hpp
+++ b/curranthoist/entry/answers.hpp
@@ -26,8 +26,8 @@
                                    const base::service_id& service,
                                    std::string_view body);
 
-// The status of a refusal that comes this long before the deadline: 504 if the deadline is
-// why, otherwise 503.
+// The status of a refusal that comes this long before the deadline: 504 if the deadline
+// is why, otherwise 503.
 unsigned refusal_status(base::duration time_left);
 
 // A refusal with its outcome, "not run" or "outcome unknown".
