Say outcome unknown of orders refused before control was asked

Ruled out: defining 'not run' as being about one delivery, since callers act on the order, not on the delivery. Change: such refusals say 'outcome unknown' and that this delivery was not sent; malformed headers are checked first, reported together, and stay 'not run'. The test that expected 'not run' for an order sent to a query service now expects the stricter outcome. Accepted connections that send no hello within 5 s are closed, and their number is bounded. The new tests were not run against the old code.

--- a/curranthoist/consensus/peer_links.cpp
+++ b/curranthoist/consensus/peer_links.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <unistd.h>
+
 namespace curranthoist::consensus {
 
 struct peer_links::dialed_peer
@@ -100,6 +102,11 @@
 
 void peer_links::on_accept(int descriptor)
 {
+    if (accepted_.size() >= max_accepted) {
+        log_.warn("closed a connection because too many have sent no hello");
+        ::close(descriptor);
+        return;
+    }
     auto& peer = *accepted_.emplace_back(std::make_unique<accepted_peer>());
     peer.session = std::make_unique<peer_session>(loop_, descriptor);
     peer.session->set_handlers(
@@ -107,6 +114,7 @@
             on_accepted_message(peer, message);
         },
         [this, &peer](const std::string&) { drop_accepted(&peer); });
+    peer.session->expect_message_within(wire::hello_limit);
     peer.session->send(own_hello());
 }
 
--- a/curranthoist/consensus/peer_links.hpp
+++ b/curranthoist/consensus/peer_links.hpp
@@ -42,6 +42,10 @@
     // replica sends them again.
     static constexpr std::size_t max_queued_bytes = std::size_t{8} * 1024 * 1024;
 
+    // Accepted connections of other members and of processes that have sent no hello yet;
+    // an entry VM's session leaves this count with its hello.
+    static constexpr std::size_t max_accepted = 1024;
+
     // Throws std::system_error if the endpoint can't be bound.
     peer_links(ev::loop_ref loop, link_options options, message_handler on_message,
                entry_handler on_entry);
--- a/curranthoist/consensus/peer_session.hpp
+++ b/curranthoist/consensus/peer_session.hpp
@@ -24,6 +24,11 @@
 
     // Replaces both handlers. Frames that arrive later go to the new ones.
     void set_handlers(message_handler on_message, close_handler on_close);
+    // Closes the session unless a first message arrives within `limit`.
+    void expect_message_within(base::duration limit)
+    {
+        connection_.expect_message_within(limit);
+    }
     template <class Message>
     void send(Message message)
     {
--- a/curranthoist/entry/filters/admitted_request.hpp
+++ b/curranthoist/entry/filters/admitted_request.hpp
@@ -4,6 +4,8 @@
 #include "curranthoist/base/instant.hpp"
 #include "curranthoist/control/service_spec.hpp"
 
+#include <optional>
+
 namespace curranthoist::entry {
 
 // What the filters learn about a caller's request, step by step. It is complete when all
@@ -14,6 +16,8 @@
     base::service_id service;
     control::service_spec spec;
     base::request_id id;
+    // The Deadline-Ms of the request, if it has one.
+    std::optional<base::duration> asked_time;
     // By the monotonic clock.
     base::instant deadline;
 };
--- a/curranthoist/entry/filters/filter_chain.cpp
+++ b/curranthoist/entry/filters/filter_chain.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/entry/filters/filter_chain.hpp"
 
+#include "curranthoist/base/findings.hpp"
 #include "curranthoist/control/configuration.hpp"
 #include "curranthoist/http/caller_request.hpp"
 
@@ -60,6 +61,50 @@
     return base::duration(value);
 }
 
+// The Request-Id, or the one made up for a query without one. Adds what is wrong with it.
+std::string read_request_id(const http::caller_request& request,
+                            const process_state& state, control::service_kind kind,
+                            base::findings& found)
+{
+    const std::optional<std::string> given = request.header("Request-Id");
+    const bool order = kind == control::service_kind::order;
+    if (!given && order) {
+        found.add("Request-Id", "is required for an order");
+        return {};
+    }
+    const std::string id = given.value_or(state.new_request_id);
+    if (id.empty() || id.size() > max_request_id_bytes ||
+        !std::all_of(id.begin(), id.end(), is_plain)) {
+        found.add("Request-Id", "must be 1 to 128 printable characters");
+    }
+    else if (order && !is_order_id(id)) {
+        found.add("Request-Id", "must have the form <unix ms>-<unique part>");
+    }
+    return id;
+}
+
+std::string one_line(const base::findings& found)
+{
+    std::string text;
+    for (const base::finding& each : found.list()) {
+        text += (text.empty() ? "" : "; ") + each.place + " " + each.text;
+    }
+    return text;
+}
+
+// An order that is refused here was not sent now, but only control knows whether an
+// earlier delivery of the same id ran. A caller that is told "not run" may place the
+// order anew under another id, so that would be a second run.
+refusal about_every_delivery(refusal refused, const admitted_request& request)
+{
+    if (request.kind == control::service_kind::order && !request.id.empty()) {
+        refused.outcome = request_outcome::unknown;
+        refused.error +=
+            "; not sent now, but an earlier delivery of this id may have run";
+    }
+    return refused;
+}
+
 } // namespace
 
 filter_result check_method_and_path(const http::caller_request& request,
@@ -117,22 +162,19 @@
     return std::nullopt;
 }
 
-filter_result read_request_id(const http::caller_request& request,
-                              const process_state& state, admitted_request& result)
+filter_result read_headers(const http::caller_request& request,
+                           const process_state& state, admitted_request& result)
 {
-    const std::optional<std::string> given = request.header("Request-Id");
-    const bool order = result.kind == control::service_kind::order;
-    if (!given && order) {
-        return refuse(bad_request, "Request-Id is required for an order");
-    }
-    const std::string id = given.value_or(state.new_request_id);
-    if (id.empty() || id.size() > max_request_id_bytes ||
-        !std::all_of(id.begin(), id.end(), is_plain)) {
-        return refuse(bad_request, "Request-Id must be 1 to 128 printable characters");
+    base::findings found;
+    const std::string id = read_request_id(request, state, result.kind, found);
+    if (const std::optional<std::string> given = request.header("Deadline-Ms")) {
+        result.asked_time = parse_milliseconds(*given);
+        if (!result.asked_time) {
+            found.add("Deadline-Ms", "must be a positive whole number");
+        }
     }
-    if (order && !is_order_id(id)) {
-        return refuse(bad_request,
-                      "Request-Id must have the form <unix ms>-<unique part>");
+    if (!found.empty()) {
+        return refuse(bad_request, one_line(found));
     }
     result.id = base::request_id(id);
     return std::nullopt;
@@ -157,19 +199,13 @@
     return std::nullopt;
 }
 
-filter_result read_deadline(const http::caller_request& request,
-                            const process_state& state, admitted_request& result)
+filter_result set_deadline(const http::caller_request& /*request*/,
+                           const process_state& state, admitted_request& result)
 {
-    base::duration time_left = result.spec.default_deadline;
-    if (const std::optional<std::string> given = request.header("Deadline-Ms")) {
-        const std::optional<base::duration> parsed = parse_milliseconds(*given);
-        if (!parsed) {
-            return refuse(bad_request, "Deadline-Ms must be a positive whole number");
-        }
-        time_left = *parsed;
-    }
-    time_left =
-        std::min({time_left, result.spec.max_deadline, state.limits.max_deadline});
+    const base::duration wanted =
+        result.asked_time.value_or(result.spec.default_deadline);
+    const base::duration time_left =
+        std::min({wanted, result.spec.max_deadline, state.limits.max_deadline});
     result.deadline = state.now + time_left;
     return std::nullopt;
 }
@@ -177,12 +213,12 @@
 filter_result run_filters(const http::caller_request& request, const process_state& state,
                           admitted_request& result)
 {
-    constexpr std::array chain{
-        check_method_and_path, check_stopping, check_lease_and_zone, check_limits,
-        read_request_id,       find_service,   read_deadline};
+    constexpr std::array chain{check_method_and_path, read_headers, check_stopping,
+                               check_lease_and_zone,  check_limits, find_service,
+                               set_deadline};
     for (const auto& filter : chain) {
         if (filter_result refused = filter(request, state, result)) {
-            return refused;
+            return about_every_delivery(*std::move(refused), result);
         }
     }
     return std::nullopt;
--- a/curranthoist/entry/filters/filter_chain_test.cpp
+++ b/curranthoist/entry/filters/filter_chain_test.cpp
@@ -31,14 +31,15 @@
         request_.path = "/v1/query/desk";
     }
 
-    // The status of the refusal, which must say "not run"; 0 if there is none.
-    unsigned refused()
+    // The status of the refusal, which must state that outcome; 0 if there is none.
+    unsigned refused(request_outcome outcome = request_outcome::not_run)
     {
         const filter_result result = run_filters(request_, state_, admitted_);
         if (!result) {
             return 0;
         }
-        EXPECT_EQ(result->outcome, request_outcome::not_run);
+        EXPECT_EQ(result->outcome, outcome) << result->error;
+        error_ = result->error;
         return result->status;
     }
 
@@ -46,6 +47,7 @@
     process_state state_;
     http::caller_request request_;
     admitted_request admitted_;
+    std::string error_;
 };
 
 TEST_F(filter_chain_test, admits_a_query_with_defaults_and_a_made_up_id)
@@ -87,11 +89,39 @@
     EXPECT_EQ(refused(), 405U);
     request_.method = "POST";
     request_.headers["Request-Id"] = "17-a";
-    for (const char* path : {"/", "/v1/query/", "/v1/query/none", "/v1/order/desk",
-                             "/v1/query/book", "/v2/query/desk"}) {
+    for (const char* path :
+         {"/", "/v1/query/", "/v1/query/none", "/v1/query/book", "/v2/query/desk"}) {
         request_.path = path;
         EXPECT_EQ(refused(), 404U) << path;
     }
+    request_.path = "/v1/order/desk";
+    EXPECT_EQ(refused(request_outcome::unknown), 404U);
+}
+
+// R6: an earlier delivery of the order may have run through another VM. A caller that is
+// told "not run" would place it again under a new id.
+TEST_F(filter_chain_test, an_order_that_is_refused_before_control_answers_is_unknown)
+{
+    request_.path = "/v1/order/book";
+    request_.headers["Request-Id"] = "1700000000000-a";
+    state_.refusing = true;
+    EXPECT_EQ(refused(request_outcome::unknown), 503U);
+    state_.refusing = false;
+    state_.lease_valid = false;
+    EXPECT_EQ(refused(request_outcome::unknown), 503U);
+    state_.lease_valid = true;
+    state_.running = 2;
+    EXPECT_EQ(refused(request_outcome::unknown), 429U);
+}
+
+TEST_F(filter_chain_test, every_malformed_header_is_named)
+{
+    request_.path = "/v1/order/book";
+    request_.headers["Request-Id"] = "abc";
+    request_.headers["Deadline-Ms"] = "soon";
+    EXPECT_EQ(refused(), 400U);
+    EXPECT_NE(error_.find("Request-Id"), std::string::npos) << error_;
+    EXPECT_NE(error_.find("Deadline-Ms"), std::string::npos) << error_;
 }
 
 // A longer deadline than the limits would outlive the stop and the lease.
--- a/curranthoist/entry/relay_server.cpp
+++ b/curranthoist/entry/relay_server.cpp
@@ -28,6 +28,7 @@
         loop_, descriptor,
         [this, number](const wire::envelope& message) { on_message(number, message); },
         [this, number](const std::string& reason) { close(number, reason); });
+    sessions_[number].connection->expect_message_within(wire::hello_limit);
 }
 
 void relay_server::on_message(std::uint64_t number, const wire::envelope& message)
--- a/curranthoist/http/caller_server_test.cpp
+++ b/curranthoist/http/caller_server_test.cpp
@@ -190,7 +190,8 @@
 TEST_F(caller_server_test, a_stop_resets_no_connection_that_waits_to_be_accepted)
 {
     start();
-    // The loop has not run since this connect, so the connection is in the kernel's queue.
+    // The loop has not run since this connect, so the connection is in the kernel's
+    // queue.
     raw_peer waiting(server_->local());
     server_->stop_accepting();
     waiting.send(get_request);
--- a/curranthoist/wire/frame_codec.hpp
+++ b/curranthoist/wire/frame_codec.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "curranthoist/base/duration.hpp"
 #include "curranthoist/wire/generated/messages_generated.h"
 
 #include <cstddef>
@@ -13,6 +14,9 @@
 // The version of the protocol between the system's processes, sent in `hello`.
 constexpr std::uint32_t protocol_version = 1;
 
+// A process that accepts a connection closes it if no hello arrives within this time.
+constexpr base::duration hello_limit{5000};
+
 // A frame's length prefix: 4 bytes, little endian, the length of the envelope in bytes.
 constexpr std::size_t frame_prefix_bytes = 4;
 
--- a/curranthoist/wire/peer_connection.cpp
+++ b/curranthoist/wire/peer_connection.cpp
@@ -36,10 +36,12 @@
     , on_close_(std::move(on_close))
     , read_watcher_(loop)
     , write_watcher_(loop)
+    , silence_timer_(loop)
 {
     set_socket_options(descriptor_);
     read_watcher_.set<peer_connection, &peer_connection::on_readable>(this);
     write_watcher_.set<peer_connection, &peer_connection::on_writable>(this);
+    silence_timer_.set<peer_connection, &peer_connection::on_silence>(this);
     read_watcher_.start(descriptor_, ev::READ);
     write_watcher_.set(descriptor_, ev::WRITE);
 }
@@ -60,12 +62,25 @@
     }
     read_watcher_.stop();
     write_watcher_.stop();
+    silence_timer_.stop();
     ::close(descriptor_);
     descriptor_ = -1;
     queue_.clear();
     queued_bytes_ = 0;
 }
 
+void peer_connection::expect_message_within(base::duration limit)
+{
+    if (descriptor_ >= 0) {
+        silence_timer_.start(limit.seconds());
+    }
+}
+
+void peer_connection::on_silence(ev::timer& /*watcher*/, int /*events*/)
+{
+    fail("no message in time");
+}
+
 void peer_connection::fail(const std::string& reason)
 {
     close();
@@ -196,6 +211,7 @@
         fail("frame failed verification");
         return false;
     }
+    silence_timer_.stop();
     closed_flag closed = false;
     closed_in_handler_ = &closed;
     // A copy, because the handler may destroy the connection and with it on_message_.
--- a/curranthoist/wire/peer_connection.hpp
+++ b/curranthoist/wire/peer_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "curranthoist/base/duration.hpp"
 #include "curranthoist/wire/frame_codec.hpp"
 
 #include <ev++.h>
@@ -48,6 +49,11 @@
     // Queues an encoded frame, for a message that goes to several peers.
     void send_frame(std::vector<std::uint8_t> frame);
 
+    // Closes the connection, with the close handler, unless a first message arrives
+    // within `limit`. For accepted connections: whoever connects and says nothing must
+    // not keep a socket for good.
+    void expect_message_within(base::duration limit);
+
     // Closes the socket without calling the close handler. Queued messages are dropped.
     void close();
     [[nodiscard]] bool is_open() const { return descriptor_ >= 0; }
@@ -63,6 +69,7 @@
 
     void on_readable(ev::io& watcher, int events);
     void on_writable(ev::io& watcher, int events);
+    void on_silence(ev::timer& watcher, int events);
     // Reads once; returns false when there is nothing more to read now.
     bool read_some();
     // Consumes received bytes; returns false once the connection is closed.
@@ -76,6 +83,7 @@
     close_handler on_close_;
     ev::io read_watcher_;
     ev::io write_watcher_;
+    ev::timer silence_timer_;
     std::vector<std::uint8_t> prefix_;
     std::vector<std::uint8_t> body_;
     std::size_t body_filled_ = 0;
--- a/curranthoist/wire/wire_test.cpp
+++ b/curranthoist/wire/wire_test.cpp
@@ -54,6 +54,14 @@
         limit.start(run_limit_s);
         loop_.run(0);
     }
+    void run_for(double seconds)
+    {
+        ev::timer end(loop_);
+        end.set<peer_connection_test, &peer_connection_test::on_end>(this);
+        end.start(seconds);
+        loop_.run(0);
+    }
+    void on_end(ev::timer& /*watcher*/, int /*events*/) { loop_.break_loop(ev::ALL); }
     void on_limit(ev::timer& /*watcher*/, int /*events*/)
     {
         ADD_FAILURE() << "no event before the limit";
@@ -105,6 +113,23 @@
     EXPECT_TRUE(received_.empty());
 }
 
+TEST_F(peer_connection_test, closes_when_the_peer_connects_and_says_nothing)
+{
+    connection_->expect_message_within(base::duration(20));
+    run_until_event();
+    EXPECT_EQ(closed_, "no message in time");
+}
+
+TEST_F(peer_connection_test, a_first_message_ends_the_wait)
+{
+    connection_->expect_message_within(base::duration(20));
+    write_other(encode_frame(cancel_message()));
+    run_until_event();
+    constexpr double past_the_limit_s = 0.05;
+    run_for(past_the_limit_s);
+    EXPECT_FALSE(closed_);
+}
+
 TEST_F(peer_connection_test, handler_may_destroy_the_connection)
 {
     int sockets[2] = {-1, -1};
