--- a/curranthoist/controld/operator_api.cpp
+++ b/curranthoist/controld/operator_api.cpp
@@ -7,6 +7,7 @@
 #include "curranthoist/control/json_fields.hpp"
 #include "curranthoist/control/plan.hpp"
 #include "curranthoist/controld/json_views.hpp"
+#include "curranthoist/http/status.hpp"
 
 #include <algorithm>
 #include <map>
@@ -19,15 +20,6 @@
 
 namespace {
 
-constexpr unsigned ok = 200;
-constexpr unsigned redirect = 307;
-constexpr unsigned bad_request = 400;
-constexpr unsigned not_found = 404;
-constexpr unsigned bad_method = 405;
-constexpr unsigned conflict = 409;
-constexpr unsigned refused_by_rules = 422;
-constexpr unsigned unavailable = 503;
-
 // Names come from operators and may hold bytes that are not UTF-8; they are replaced.
 std::string text_of(const json& value)
 {
@@ -76,7 +68,7 @@
     for (const control::decision& one : since) {
         list.push_back(to_json(one));
     }
-    return {conflict,
+    return {http::status::conflict,
             text_of({{"error", "the configuration has changed since the plan was made"},
                      {"changed", list}}),
             {}};
@@ -85,9 +77,10 @@
 operator_response not_leader(std::string_view path, const members_view& members)
 {
     if (members.leader_operators_address.empty()) {
-        return error(unavailable, "no leader is known");
+        return error(http::status::service_unavailable, "no leader is known");
     }
-    operator_response response = error(redirect, "the leader is " + members.leader);
+    operator_response response =
+        error(http::status::temporary_redirect, "the leader is " + members.leader);
     response.location = "http://" + members.leader_operators_address + std::string(path);
     return response;
 }
@@ -102,20 +95,22 @@
     const bool get =
         path == "/v1/status" || path == "/v1/configuration" || path == "/v1/decisions";
     if (!post && !get) {
-        return {error(not_found, "unknown path"), {}, {}};
+        return {error(http::status::not_found, "unknown path"), {}, {}};
     }
     if (method != (post ? "POST" : "GET")) {
-        return {
-            error(bad_method, "this path takes " + std::string(post ? "POST" : "GET")),
-            {},
-            {}};
+        return {error(http::status::method_not_allowed,
+                      "this path takes " + std::string(post ? "POST" : "GET")),
+                {},
+                {}};
     }
     if (!leader_.is_leader()) {
         return {not_leader(path, members), {}, {}};
     }
     if (!leader_.is_ready()) {
-        return {
-            error(unavailable, "the leader waits for a quorum to confirm it"), {}, {}};
+        return {error(http::status::service_unavailable,
+                      "the leader waits for a quorum to confirm it"),
+                {},
+                {}};
     }
     if (path == "/v1/confirm") {
         return confirm(body, members, wall);
@@ -162,9 +157,10 @@
         fields.finish();
     }
     if (!found.empty()) {
-        return findings_response(bad_request, "the request has mistakes", found);
+        return findings_response(http::status::bad_request, "the request has mistakes",
+                                 found);
     }
-    return {ok, text_of(to_json(plan_for(wanted, members))), {}};
+    return {http::status::ok, text_of(to_json(plan_for(wanted, members))), {}};
 }
 
 operator_result operator_api::confirm(std::string_view body, const members_view& members,
@@ -193,8 +189,10 @@
         }
     }
     if (!found.empty()) {
-        return {
-            findings_response(bad_request, "the request has mistakes", found), {}, {}};
+        return {findings_response(http::status::bad_request, "the request has mistakes",
+                                  found),
+                {},
+                {}};
     }
     if (auto early = early_answer(command, plan_id, members)) {
         return {std::move(early), {}, {}};
@@ -222,10 +220,12 @@
     }
     const control::plan now = plan_for(*command.value, members);
     if (!now.refused.empty()) {
-        return findings_response(refused_by_rules, "the intent is refused", now.refused);
+        return findings_response(http::status::unprocessable, "the intent is refused",
+                                 now.refused);
     }
     if (now.plan_id != plan_id) {
-        return error(conflict, "the plan id belongs to another intent or revision");
+        return error(http::status::conflict,
+                     "the plan id belongs to another intent or revision");
     }
     return std::nullopt;
 }
@@ -236,21 +236,23 @@
     switch (result.result) {
     case status::accepted:
     case status::repeated:
-        return {ok, text_of(outcome_json(result)), {}};
+        return {http::status::ok, text_of(outcome_json(result)), {}};
     case status::id_reused:
-        return error(conflict, "the intent id was used for another intent");
+        return error(http::status::conflict, "the intent id was used for another intent");
     case status::stale:
         return stale_response(result.since);
     case status::refused:
         break;
     }
-    return findings_response(refused_by_rules, "the intent is refused", result.refused);
+    return findings_response(http::status::unprocessable, "the intent is refused",
+                             result.refused);
 }
 
 operator_response operator_api::confirm_unknown()
 {
-    return error(unavailable, "it is not known whether the intent was accepted; send it "
-                              "again with the same intent id");
+    return error(http::status::service_unavailable,
+                 "it is not known whether the intent was accepted; send it "
+                 "again with the same intent id");
 }
 
 operator_response operator_api::status(const members_view& members) const
@@ -280,7 +282,7 @@
                                  {"new_member", wanted->new_member},
                                  {"state", members.repair}};
     }
-    return {ok, text_of(result), {}};
+    return {http::status::ok, text_of(result), {}};
 }
 
 json operator_api::vm_status() const
@@ -311,7 +313,7 @@
 {
     json result = to_json(state_.current());
     result["operator_revision"] = state_.operator_revision().value();
-    return {ok, text_of(result), {}};
+    return {http::status::ok, text_of(result), {}};
 }
 
 operator_response operator_api::decisions() const
@@ -320,7 +322,7 @@
     for (const control::decision& one : state_.decisions()) {
         list.push_back(to_json(one));
     }
-    return {ok, text_of({{"decisions", list}}), {}};
+    return {http::status::ok, text_of({{"decisions", list}}), {}};
 }
 
 } // namespace curranthoist::controld
--- a/curranthoist/entry/answer_check.cpp
+++ b/curranthoist/entry/answer_check.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/entry/answer_check.hpp"
 
+#include "curranthoist/http/status.hpp"
 #include "curranthoist/http/target_result.hpp"
 
 #include <nlohmann/json.hpp>
@@ -15,11 +16,6 @@
 using admission::call_end;
 using wire::part_status;
 
-constexpr unsigned ok = 200;
-constexpr unsigned gone = 410;
-constexpr unsigned unavailable = 503;
-constexpr unsigned gateway_timeout = 504;
-
 checked_answer ended(call_end end, part_status status, bool not_run)
 {
     checked_answer result;
@@ -80,16 +76,16 @@
                             const http::target_result& result)
 {
     const bool not_run = result.header("Not-Run") == "true";
-    if (result.status == ok) {
+    if (result.status == http::status::ok) {
         return check_success(request, result);
     }
-    if (result.status == gone && !request.order) {
+    if (result.status == http::status::gone && !request.order) {
         return ended(call_end::snapshot_gone, part_status::snapshot_gone, true);
     }
-    if (result.status == unavailable && not_run) {
+    if (result.status == http::status::service_unavailable && not_run) {
         return ended(call_end::shed, part_status::shed, true);
     }
-    if (result.status == gateway_timeout && not_run) {
+    if (result.status == http::status::gateway_timeout && not_run) {
         return ended(call_end::expired, part_status::timed_out, true);
     }
     return ended(call_end::failed,
--- a/curranthoist/entry/answers.cpp
+++ b/curranthoist/entry/answers.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/entry/answers.hpp"
 
+#include "curranthoist/http/status.hpp"
 #include "curranthoist/routing/scatter_action.hpp"
 
 #include <nlohmann/json.hpp>
@@ -77,9 +78,8 @@
 {
     // Answers leave up to 15 ms before the deadline, and the loop may be late by a turn.
     constexpr base::duration answer_margin{20};
-    constexpr unsigned unavailable = 503;
-    constexpr unsigned gateway_timeout = 504;
-    return time_left <= answer_margin ? gateway_timeout : unavailable;
+    return time_left <= answer_margin ? http::status::gateway_timeout
+                                      : http::status::service_unavailable;
 }
 
 http::caller_response refusal_answer(const base::request_id& id, const refusal& why)
--- a/curranthoist/entry/filters/filter_chain.cpp
+++ b/curranthoist/entry/filters/filter_chain.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/findings.hpp"
 #include "curranthoist/control/configuration.hpp"
 #include "curranthoist/http/caller_request.hpp"
+#include "curranthoist/http/status.hpp"
 
 #include <algorithm>
 #include <array>
@@ -13,12 +14,6 @@
 
 namespace {
 
-constexpr unsigned bad_request = 400;
-constexpr unsigned not_found = 404;
-constexpr unsigned method_not_allowed = 405;
-constexpr unsigned too_large = 413;
-constexpr unsigned too_many_requests = 429;
-constexpr unsigned unavailable = 503;
 constexpr std::size_t max_request_id_bytes = 128;
 
 constexpr std::string_view query_prefix = "/v1/query/";
@@ -122,10 +117,10 @@
         service = path.substr(order_prefix.size());
     }
     if (service.empty()) {
-        return refuse(not_found, "unknown path");
+        return refuse(http::status::not_found, "unknown path");
     }
     if (request.method != "POST") {
-        return refuse(method_not_allowed, "method must be POST");
+        return refuse(http::status::method_not_allowed, "method must be POST");
     }
     result.service = base::service_id(service);
     return std::nullopt;
@@ -134,7 +129,8 @@
 filter_result check_stopping(const http::caller_request& /*request*/,
                              const process_state& state, admitted_request& /*result*/)
 {
-    return state.refusing ? refuse(unavailable, "VM is stopping") : std::nullopt;
+    return state.refusing ? refuse(http::status::service_unavailable, "VM is stopping")
+                          : std::nullopt;
 }
 
 filter_result check_lease_and_zone(const http::caller_request& /*request*/,
@@ -142,10 +138,11 @@
                                    admitted_request& /*result*/)
 {
     if (!state.lease_valid) {
-        return refuse(unavailable, "VM holds no lease");
+        return refuse(http::status::service_unavailable, "VM holds no lease");
     }
     if (!state.in_service) {
-        return refuse(unavailable, "VM or its availability zone is out of service");
+        return refuse(http::status::service_unavailable,
+                      "VM or its availability zone is out of service");
     }
     return std::nullopt;
 }
@@ -154,10 +151,11 @@
                            const process_state& state, admitted_request& /*result*/)
 {
     if (state.running >= state.limits.max_concurrent_requests) {
-        return refuse(too_many_requests, "too many concurrent requests");
+        return refuse(http::status::too_many_requests, "too many concurrent requests");
     }
     if (request.body.size() > state.limits.max_body_bytes) {
-        return refuse(too_large, "body exceeds the process's limit");
+        return refuse(http::status::content_too_large,
+                      "body exceeds the process's limit");
     }
     return std::nullopt;
 }
@@ -174,7 +172,7 @@
         }
     }
     if (!found.empty()) {
-        return refuse(bad_request, one_line(found));
+        return refuse(http::status::bad_request, one_line(found));
     }
     result.id = base::request_id(id);
     return std::nullopt;
@@ -185,15 +183,16 @@
 {
     const auto found = state.configuration->services.find(result.service);
     if (found == state.configuration->services.end()) {
-        return refuse(not_found, "unknown service");
+        return refuse(http::status::not_found, "unknown service");
     }
     if (found->second.kind != result.kind) {
-        return refuse(not_found, result.kind == control::service_kind::order
-                                     ? "service takes queries, not orders"
-                                     : "service takes orders, not queries");
+        return refuse(http::status::not_found, result.kind == control::service_kind::order
+                                                   ? "service takes queries, not orders"
+                                                   : "service takes orders, not queries");
     }
     if (request.body.size() > found->second.max_body_bytes) {
-        return refuse(too_large, "body exceeds the service's limit");
+        return refuse(http::status::content_too_large,
+                      "body exceeds the service's limit");
     }
     result.spec = found->second;
     return std::nullopt;
--- a/curranthoist/entry/request_dispatcher.cpp
+++ b/curranthoist/entry/request_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/entry/answers.hpp"
 #include "curranthoist/entry/filters/filter_chain.hpp"
+#include "curranthoist/http/status.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -83,19 +84,18 @@
 bool request_dispatcher::answer_own_path(const http::caller_request& request,
                                          const http::responder& caller)
 {
-    constexpr unsigned ok = 200;
-    constexpr unsigned unavailable = 503;
     if (request.method != "GET") {
         return false;
     }
     if (request.path == "/ready") {
         const std::string reason = not_ready_reason();
-        caller.respond(reason.empty() ? text_response(ok, "ready\n")
-                                      : text_response(unavailable, reason + "\n"));
+        caller.respond(reason.empty() ? text_response(http::status::ok, "ready\n")
+                                      : text_response(http::status::service_unavailable,
+                                                      reason + "\n"));
         return true;
     }
     if (request.path == "/metrics") {
-        caller.respond(text_response(ok, used_.metrics.prometheus_text()));
+        caller.respond(text_response(http::status::ok, used_.metrics.prometheus_text()));
         return true;
     }
     return false;
@@ -139,20 +139,20 @@
                                      const std::string& body,
                                      const http::responder& caller)
 {
-    constexpr unsigned too_many_requests = 429;
     service_state& shared = used_.services.state_of(admitted.service);
     const auto map = used_.services.map_of(admitted.service);
     if (map && most_shards(*map) > used_.settings.limits.max_shards_per_query) {
         refuse(admitted.id,
-               {too_many_requests, "snapshot has more shards than a query may use",
+               {http::status::too_many_requests,
+                "snapshot has more shards than a query may use",
                 request_outcome::not_run},
                caller);
         return;
     }
     if (!shared.limiter.try_start(clock_.now())) {
         refuse(admitted.id,
-               {too_many_requests, "targets of the service are at their limits",
-                request_outcome::not_run},
+               {http::status::too_many_requests,
+                "targets of the service are at their limits", request_outcome::not_run},
                caller);
         return;
     }
--- a/curranthoist/entry/target_task.cpp
+++ b/curranthoist/entry/target_task.cpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/entry/answer_check.hpp"
 #include "curranthoist/entry/status_report.hpp"
+#include "curranthoist/http/status.hpp"
 
 #include <algorithm>
 #include <string>
@@ -12,7 +13,6 @@
 
 namespace {
 
-constexpr unsigned http_ok = 200;
 constexpr std::size_t max_status_bytes = 65536;
 // Three successive owners may have a connection for polls each.
 constexpr std::uint32_t poll_connections_of_three_owners = 3;
@@ -351,7 +351,7 @@
 {
     poll_running_ = false;
     std::optional<status_report> report;
-    if (result.outcome == http::call_outcome::ok && result.status == http_ok) {
+    if (result.outcome == http::call_outcome::ok && result.status == http::status::ok) {
         report = parse_status(result.body);
     }
     admission::target_status status;
--- a/curranthoist/http/internal/curl_handle_setup.cpp
+++ b/curranthoist/http/internal/curl_handle_setup.cpp
@@ -1,5 +1,7 @@
 #include "curranthoist/http/internal/curl_handle_setup.hpp"
 
+#include "curranthoist/http/status.hpp"
+
 #include <charconv>
 #include <string>
 #include <string_view>
@@ -8,9 +10,6 @@
 
 namespace {
 
-constexpr unsigned no_content = 204;
-constexpr unsigned not_modified = 304;
-
 std::string_view trimmed(std::string_view text)
 {
     constexpr std::string_view blank = " \t\r\n";
@@ -128,7 +127,8 @@
 bool is_whole(const running_call& current)
 {
     const unsigned status = current.result.status;
-    const bool bodiless = status == no_content || status == not_modified;
+    const bool bodiless =
+        status == http::status::no_content || status == http::status::not_modified;
     return (bodiless || current.has_length) && has_announced_size(current);
 }
 
--- a/curranthoist/testing/answer_check.cpp
+++ b/curranthoist/testing/answer_check.cpp
@@ -1,5 +1,7 @@
 #include "curranthoist/testing/answer_check.hpp"
 
+#include "curranthoist/http/status.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <set>
@@ -10,8 +12,6 @@
 
 using nlohmann::json;
 
-constexpr unsigned status_ok = 200;
-
 checked_answer wrong(std::string mistake)
 {
     checked_answer result;
@@ -147,10 +147,10 @@
 {
     const std::string id = answer.value("request_id", "");
     // The HTTP layer refuses a request before it reads the id.
-    if (id != sent.request_id && (status == status_ok || !id.empty())) {
+    if (id != sent.request_id && (status == http::status::ok || !id.empty())) {
         return wrong("the answer is to another request");
     }
-    if (status != status_ok) {
+    if (status != http::status::ok) {
         return check_refusal(answer);
     }
     if (answer.value("service", "") != sent.service) {
--- a/curranthoist/testing/load_generator.cpp
+++ b/curranthoist/testing/load_generator.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/testing/load_generator.hpp"
 
+#include "curranthoist/http/status.hpp"
 #include "curranthoist/testing/query_digest.hpp"
 
 #include <nlohmann/json.hpp>
@@ -12,7 +13,6 @@
 
 constexpr double microseconds_per_second = 1e6;
 constexpr std::int64_t microseconds_per_millisecond = 1000;
-constexpr unsigned status_ok = 200;
 // Time beyond the deadline in which an entry should have answered; a missing answer is a
 // failure of its own.
 constexpr base::duration answer_grace{2000};
@@ -155,7 +155,7 @@
         each.ready_client->start(
             std::move(call), [&each](const http::target_result& result) {
                 each.ready = result.outcome == http::call_outcome::ok &&
-                             result.status == status_ok;
+                             result.status == http::status::ok;
             });
     }
 }
--- a/curranthoist/testing/process_fixture.cpp
+++ b/curranthoist/testing/process_fixture.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/testing/process_fixture.hpp"
 
+#include "curranthoist/http/status.hpp"
 #include "curranthoist/http/target_client.hpp"
 #include "curranthoist/testing/loopback.hpp"
 
@@ -18,8 +19,6 @@
 
 using nlohmann::json;
 
-constexpr unsigned status_ok = 200;
-
 std::string make_folder()
 {
     std::string path =
@@ -78,7 +77,7 @@
     call.method = "GET";
     call.path = path;
     const http::target_result result = send(remote, std::move(call));
-    if (result.outcome != http::call_outcome::ok || result.status != status_ok) {
+    if (result.outcome != http::call_outcome::ok || result.status != http::status::ok) {
         return nullptr;
     }
     const json body = json::parse(result.body, nullptr, false);
@@ -104,7 +103,8 @@
             call.method = "GET";
             call.path = path;
             const http::target_result result = send(remote, std::move(call));
-            return result.outcome == http::call_outcome::ok && result.status == status_ok;
+            return result.outcome == http::call_outcome::ok &&
+                   result.status == http::status::ok;
         },
         limit);
 }
--- a/curranthoist/testing/stand_in_admin.cpp
+++ b/curranthoist/testing/stand_in_admin.cpp
@@ -1,4 +1,5 @@
 #include "curranthoist/base/findings.hpp"
+#include "curranthoist/http/status.hpp"
 #include "curranthoist/testing/fault_parser.hpp"
 #include "curranthoist/testing/stand_in_target.hpp"
 
@@ -10,9 +11,6 @@
 
 using nlohmann::json;
 
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_not_found = 404;
-
 json findings_json(const base::findings& found)
 {
     json list = json::array();
@@ -45,7 +43,7 @@
         response.body = summary.dump();
     }
     else {
-        response.status = status_not_found;
+        response.status = http::status::not_found;
         response.body = R"({"error":"unknown path"})";
     }
     answer.respond(std::move(response));
@@ -59,7 +57,7 @@
     if (!command) {
         const std::string body =
             findings_json(found).dump(-1, ' ', false, json::error_handler_t::replace);
-        answer.respond({.status = status_bad_request, .body = body});
+        answer.respond({.status = http::status::bad_request, .body = body});
         return;
     }
     carry_out(*command);
--- a/curranthoist/testing/stand_in_target.cpp
+++ b/curranthoist/testing/stand_in_target.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/testing/stand_in_target.hpp"
 
 #include "curranthoist/base/findings.hpp"
+#include "curranthoist/http/status.hpp"
 #include "curranthoist/testing/fault_parser.hpp"
 #include "curranthoist/testing/query_digest.hpp"
 
@@ -14,11 +15,6 @@
 
 using nlohmann::json;
 
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_gone = 410;
-constexpr unsigned status_unavailable = 503;
-constexpr unsigned status_gateway_timeout = 504;
 constexpr std::size_t max_body_bytes = std::size_t{16} * 1024 * 1024;
 constexpr const char* part_path = "/v1/part";
 constexpr const char* order_path = "/v1/order";
@@ -166,23 +162,23 @@
 {
     const http::caller_request& request = run.request;
     if (request.path != part_path && request.path != order_path) {
-        return not_run(status_not_found, "unknown path");
+        return not_run(http::status::not_found, "unknown path");
     }
     const auto deadline_ms = number_in(request.header("Deadline-Ms"));
     if (request.method != "POST" || !deadline_ms || !request.header("Request-Id") ||
         request.argument("service") != settings_.service) {
         journal_.count("malformed");
-        return not_run(status_bad_request,
+        return not_run(http::status::bad_request,
                        "needs POST, service, Request-Id, Deadline-Ms");
     }
     if (is_draining()) {
         journal_.count("shed_draining");
-        return not_run(status_unavailable, "draining");
+        return not_run(http::status::service_unavailable, "draining");
     }
     const base::instant now = clock_.now();
     if (now - run.arrived >= base::duration(*deadline_ms)) {
         journal_.count("expired");
-        return not_run(status_gateway_timeout, "the deadline has passed");
+        return not_run(http::status::gateway_timeout, "the deadline has passed");
     }
     if (!is_order(request)) {
         if (auto gone = refusal_of_snapshot(run)) {
@@ -191,11 +187,11 @@
     }
     if (!cold_.admit(now, slots_in_use_)) {
         journal_.count("shed_cold");
-        return not_run(status_unavailable, "cold");
+        return not_run(http::status::service_unavailable, "cold");
     }
     if (slots_in_use_ >= settings_.slots) {
         journal_.count("shed_slots");
-        return not_run(status_unavailable, "all slots are in use");
+        return not_run(http::status::service_unavailable, "all slots are in use");
     }
     return std::nullopt;
 }
@@ -207,7 +203,7 @@
     const auto version = number_in(run.request.argument("snapshot"));
     if (!shard || !version) {
         journal_.count("malformed");
-        return not_run(status_bad_request, "needs shard and snapshot");
+        return not_run(http::status::bad_request, "needs shard and snapshot");
     }
     for (const held_snapshot& held : snapshots_) {
         if (held.version == static_cast<std::uint64_t>(*version) &&
@@ -216,7 +212,7 @@
         }
     }
     journal_.count("snapshot_gone");
-    return not_run(status_gone, "snapshot gone");
+    return not_run(http::status::gone, "snapshot gone");
 }
 
 void stand_in_target::start(run_number number)
