--- a/curranthoist/entry/answers.cpp
+++ b/curranthoist/entry/answers.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/entry/answers.hpp"
 
+#include "curranthoist/http/status.hpp"
 #include "curranthoist/routing/scatter_action.hpp"
 
 #include <nlohmann/json.hpp>
@@ -73,6 +74,14 @@
     return response;
 }
 
+unsigned refusal_status(base::duration time_left)
+{
+    // Answers leave up to 15 ms before the deadline, and the loop may be late by a turn.
+    constexpr base::duration answer_margin{20};
+    return time_left <= answer_margin ? http::status::gateway_timeout
+                                      : http::status::service_unavailable;
+}
+
 http::caller_response refusal_answer(const base::request_id& id, const refusal& why)
 {
     const bool not_run = why.outcome == request_outcome::not_run;
--- a/curranthoist/wire/wire_test.cpp
+++ b/curranthoist/wire/wire_test.cpp
@@ -1,3 +1,4 @@
+#include "curranthoist/testing/loopback.hpp"
 #include "curranthoist/wire/peer_connection.hpp"
 #include "curranthoist/wire/peer_dialer.hpp"
 #include "curranthoist/wire/peer_listener.hpp"
@@ -17,7 +18,7 @@
 constexpr double run_limit_s = 5.0;
 
 // Two connected sockets with a peer_connection on one of them.
-class peer_connection_test : public testing::Test
+class peer_connection_test : public ::testing::Test
 {
 protected:
     void SetUp() override
@@ -53,6 +54,14 @@
         limit.start(run_limit_s);
         loop_.run(0);
     }
+    void run_for(double seconds)
+    {
+        ev::timer end(loop_);
+        end.set<peer_connection_test, &peer_connection_test::on_end>(this);
+        end.start(seconds);
+        loop_.run(0);
+    }
+    void on_end(ev::timer& /*watcher*/, int /*events*/) { loop_.break_loop(ev::ALL); }
     void on_limit(ev::timer& /*watcher*/, int /*events*/)
     {
         ADD_FAILURE() << "no event before the limit";
@@ -104,6 +113,23 @@
     EXPECT_TRUE(received_.empty());
 }
 
+TEST_F(peer_connection_test, closes_when_the_peer_connects_and_says_nothing)
+{
+    connection_->expect_message_within(base::duration(20));
+    run_until_event();
+    EXPECT_EQ(closed_, "no message in time");
+}
+
+TEST_F(peer_connection_test, a_first_message_ends_the_wait)
+{
+    connection_->expect_message_within(base::duration(20));
+    write_other(encode_frame(cancel_message()));
+    run_until_event();
+    constexpr double past_the_limit_s = 0.05;
+    run_for(past_the_limit_s);
+    EXPECT_FALSE(closed_);
+}
+
 TEST_F(peer_connection_test, handler_may_destroy_the_connection)
 {
     int sockets[2] = {-1, -1};
@@ -135,7 +161,7 @@
 TEST(peer_dialer_test, connects_again_after_the_peer_closes)
 {
     ev::dynamic_loop loop;
-    const base::endpoint local{"127.0.0.1", 38517};
+    const base::endpoint local{testing::loopback_address(1), 7000};
     int accepted = 0;
     const peer_listener listener(loop, local, [&](int descriptor) {
         ++accepted;
