Export the number of paced targets of a service and the shards of a load report

The load report gives the coverage as a share only, from which the shards that were asked for can't be read.

--- a/curranthoist/entry/part_server.cpp
+++ b/curranthoist/entry/part_server.cpp
@@ -95,18 +95,39 @@
         std::erase_if(running_, [&](const auto& entry) {
             return entry.second.target == task->first;
         });
+        count_cold(task->first, task->second->service(), false);
         on_.on_dropped(task->first);
         task = tasks_.erase(task);
     }
 }
 
+void part_server::count_cold(const base::target_id& id, const base::service_id& service,
+                             bool cold)
+{
+    std::set<base::target_id>& of_service = cold_[service];
+    if (cold) {
+        of_service.insert(id);
+    }
+    else {
+        of_service.erase(id);
+    }
+    metrics_
+        .gauge_named("curranthoist_cold_targets",
+                     "Owned targets that get work at a limited pace only",
+                     "service=\"" + service.str() + "\"")
+        .set(static_cast<std::int64_t>(of_service.size()));
+}
+
 void part_server::take(const base::target_id& id, const control::target_spec& spec,
                        const control::assignment& given)
 {
     log_.info("took target " + id.str() + " with fence " +
               std::to_string(given.number.value()));
     target_task::handlers on;
-    on.on_fact = [this, id](const routing::target_fact& fact) { on_.on_fact(id, fact); };
+    on.on_fact = [this, id, service = spec.service](const routing::target_fact& fact) {
+        count_cold(id, service, fact.cold);
+        on_.on_fact(id, fact);
+    };
     on.on_released = [this, id, fence = given.number](std::uint64_t pace, bool warm) {
         wire::released_target_message released;
         released.target = id.str();
--- a/curranthoist/entry/part_server.hpp
+++ b/curranthoist/entry/part_server.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace curranthoist::control {
@@ -72,6 +73,8 @@
     void finish(const part_key& key, const std::function<void(target_answer)>& on_answer,
                 target_answer value);
     void drop_tasks(const control::configuration& configuration);
+    void count_cold(const base::target_id& id, const base::service_id& service,
+                    bool cold);
 
     ev::loop_ref loop_;
     base::vm_id self_;
@@ -84,6 +87,8 @@
     base::instant lease_end_;
     std::map<base::target_id, std::unique_ptr<target_task>> tasks_;
     std::map<part_key, ticket> running_;
+    // Owned targets that aren't warm.
+    std::map<base::service_id, std::set<base::target_id>> cold_;
 };
 
 } // namespace curranthoist::entry
--- a/curranthoist/entry/target_task.hpp
+++ b/curranthoist/entry/target_task.hpp
@@ -61,6 +61,7 @@
     void release();
 
     [[nodiscard]] base::fence fence() const { return fence_; }
+    [[nodiscard]] const base::service_id& service() const { return spec_.service; }
     [[nodiscard]] bool releasing() const { return releasing_; }
     // Requests without an answer.
     [[nodiscard]] std::size_t running() const { return calls_.size(); }
--- a/curranthoist/testing/load_report.cpp
+++ b/curranthoist/testing/load_report.cpp
@@ -131,6 +131,8 @@
             {"failed", from.failed},
             {"wrong", from.wrong},
             {"coverage", coverage},
+            {"shards_answered", from.shards_answered},
+            {"shards_total", from.shards_total},
             {"latency_us",
              {{"p50", from.latencies.quantile(median)},
               {"p99", from.latencies.quantile(p99)},
