Take the lower quartile as a new target's reference for slow responses

Cause: until a target is warm, its warm service time was the fastest response seen. Where service times vary, that is far below the ordinary time: with a log-normal time of 5 ms mean it is 1 to 2 ms, so every response over 6 ms counted as slow, the run of 8 good responses rarely came about, and the capacity that the pace must exceed was taken as 2,000/s.

Change: the reference is the lower quartile of the recent responses. It still follows a target that speeds up, because a quarter of faster responses moves it.

--- a/curranthoist/admission/cold_detector.cpp
+++ b/curranthoist/admission/cold_detector.cpp
@@ -54,14 +54,13 @@
     if (warm) {
         warm_times_.add(service_time);
     }
-    if (fastest_ == base::duration() || service_time < fastest_) {
-        fastest_ = std::max(service_time, base::duration(1));
-    }
+    all_times_.add(std::max(service_time, base::duration(1)));
     slow_count_ = is_slow ? slow_count_ + 1 : 0;
     if (slow_count_ >= slow_responses_when_normal) {
         warm_times_.clear();
         expected_ = {};
-        fastest_ = service_time;
+        all_times_.clear();
+        all_times_.add(std::max(service_time, base::duration(1)));
         slow_count_ = 0;
     }
     return warm && slow_count_ >= slow_responses_when_cold;
@@ -78,10 +77,13 @@
 {
     constexpr std::size_t least_samples = 8;
     constexpr int median = 50;
+    constexpr int lower_quartile = 25;
     if (warm_times_.size() >= least_samples) {
         return *warm_times_.quantile(median);
     }
-    return expected_ > base::duration() ? expected_ : fastest_;
+    return expected_ > base::duration()
+               ? expected_
+               : all_times_.quantile(lower_quartile).value_or(base::duration());
 }
 
 } // namespace curranthoist::admission
--- a/curranthoist/admission/cold_detector.hpp
+++ b/curranthoist/admission/cold_detector.hpp
@@ -43,7 +43,9 @@
     // True if a response of that length is slow: over 3 times the warm service time.
     [[nodiscard]] bool slow(base::duration service_time) const;
     // The warm service time: the median while warm; before that the expected time or the
-    // fastest response so far.
+    // lower quartile of the responses so far. A cold target's times are mixed, and the
+    // faster ones are nearer to its warm time; the fastest alone would be far below it
+    // where service times vary, and most ordinary responses would count as slow.
     [[nodiscard]] base::duration warm_service_time() const;
 
 private:
@@ -58,7 +60,7 @@
     std::size_t shed_count_ = 0;
     int slow_count_ = 0;
     latency_window warm_times_;
-    base::duration fastest_;
+    latency_window all_times_;
 };
 
 } // namespace curranthoist::admission
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -6,6 +6,9 @@
     entry VM n       127.20.0.n   callers :8080, peers :7000
     control member n 127.30.0.n   members and sessions :7100, operators :8081
     target n         127.40.x.y   parts and orders :9000, stand-in's admin :9001
+
+The second octets are the default of Fleet's `network`; fleets that run at the same time need
+different ones.
 """
 
 import dataclasses
@@ -22,6 +25,8 @@
 
 READY_LIMIT_S = 30.0
 POLL_S = 0.05
+# Second octets of the addresses of entry VMs, control members and targets.
+NETWORK = (20, 30, 40)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,7 +79,7 @@
     process that it started, by process id."""
 
     def __init__(self, build, deployment, entries=10, controls=3, log_level="warn",
-                 service_ms=5, policies=None, target_options=()):
+                 service_ms=5, policies=None, target_options=(), network=NETWORK):
         self.bin = os.path.join(build, "bin")
         self.deployment = deployment
         self.folder = tempfile.mkdtemp(prefix="curranthoist-")
@@ -83,10 +88,11 @@
         self.policies = policies or {}
         self.target_options = list(target_options)
         self.processes = {}
+        entry_net, control_net, self.target_net = network
         zones = deployment.zones
-        self.entries = {f"vm-{n}": (f"127.20.0.{n}", zones[(n - 1) % len(zones)])
+        self.entries = {f"vm-{n}": (f"127.{entry_net}.0.{n}", zones[(n - 1) % len(zones)])
                         for n in range(1, entries + 1)}
-        self.controls = {f"control-{n}": f"127.30.0.{n}" for n in range(1, controls + 1)}
+        self.controls = {f"control-{n}": f"127.{control_net}.0.{n}" for n in range(1, controls + 1)}
         self.targets = list(self._targets())
 
     def _targets(self):
@@ -94,7 +100,7 @@
         for service in self.deployment.services:
             for shard in range(service.shards):
                 for replica in range(service.replicas):
-                    address = f"127.40.{number // 200}.{number % 200 + 1}"
+                    address = f"127.{self.target_net}.{number // 200}.{number % 200 + 1}"
                     zone = self.deployment.zones[
                         (shard + replica) % len(self.deployment.zones)]
                     yield Target(f"{service.name}-{shard}{chr(ord('a') + replica)}", service,
