Add fuzz targets and a sanitizer run to the checks

Cause: damaged input from peers, operators, callers and the disk was covered by hand-written cases only.

The conversion of part replies becomes a function of its own, so that a target reaches it. It also checks the standard library's preconditions (_GLIBCXX_ASSERTIONS).

--- a/cmake/curranthoist_targets.cmake
+++ b/cmake/curranthoist_targets.cmake
@@ -4,10 +4,19 @@
 target_compile_options(curranthoist_flags INTERFACE
     -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror)
 if(CURRANTHOIST_SANITIZE)
-    target_compile_options(curranthoist_flags INTERFACE
+    # At -O2 -g a source takes about twice the processor time; -g1 still names the line of
+    # every frame in a report.
+    target_compile_options(curranthoist_flags INTERFACE -O1 -g1 -D_GLIBCXX_ASSERTIONS
         -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
     target_link_options(curranthoist_flags INTERFACE -fsanitize=address,undefined)
 endif()
+if(CURRANTHOIST_FUZZ)
+    # Linked with -fsanitize=fuzzer by the fuzz targets only, which brings its own main().
+    target_compile_options(curranthoist_flags INTERFACE -O1
+        -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all
+        -fno-omit-frame-pointer)
+    target_link_options(curranthoist_flags INTERFACE -fsanitize=address,undefined)
+endif()
 
 # curranthoist_library(name SOURCES a.cpp b.cpp DEPS other ...)
 function(curranthoist_library name)
--- a/curranthoist/entry/query_task.cpp
+++ b/curranthoist/entry/query_task.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/entry/query_task.hpp"
 
 #include "curranthoist/entry/answers.hpp"
+#include "curranthoist/entry/part_reply_codec.hpp"
 
 #include <algorithm>
 #include <string>
@@ -23,23 +24,6 @@
     return options;
 }
 
-routing::part_reply reply_of(const wire::part_reply_message& message)
-{
-    routing::part_reply reply;
-    reply.query = message.query_id;
-    reply.part = message.part_id;
-    reply.status = message.status;
-    reply.not_run = message.not_run;
-    reply.snapshot = base::snapshot_version(message.snapshot);
-    reply.shard = base::shard_number(message.shard);
-    reply.shards = message.shards;
-    reply.queue_length = message.queue_length;
-    reply.service_time =
-        base::duration(static_cast<std::int64_t>(message.service_time_ms));
-    reply.body.assign(message.body.begin(), message.body.end());
-    return reply;
-}
-
 } // namespace
 
 query_task::query_task(ev::loop_ref loop, std::uint64_t number, admitted_request request,
@@ -140,7 +124,7 @@
     const base::instant now = clock_.now();
     shared_.limiter.on_part(now, message.status == wire::part_status::shed,
                             message.queue_length);
-    run(scatter_.on_part_reply(now, owner, reply_of(message)));
+    run(scatter_.on_part_reply(now, owner, from_message(message)));
 }
 
 void query_task::on_owner_lost(const base::vm_id& owner)
--- /dev/null
+++ b/curranthoist/testing/fuzz/seeds.cpp
@@ -0,0 +1,320 @@
+#include "curranthoist/testing/fuzz/seeds.hpp"
+
+#include "curranthoist/consensus/replica.hpp"
+#include "curranthoist/consensus/wire_codec.hpp"
+#include "curranthoist/control/cluster_state.hpp"
+#include "curranthoist/control/configuration_codec.hpp"
+#include "curranthoist/storage/internal/byte_codec.hpp"
+#include "curranthoist/storage/internal/record_codec.hpp"
+#include "curranthoist/testing/fuzz/chunks.hpp"
+#include "curranthoist/testing/fuzz/small_deployment.hpp"
+
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <string_view>
+#include <utility>
+
+namespace curranthoist::testing::fuzz {
+
+namespace {
+
+using bytes = std::vector<std::uint8_t>;
+using inputs = std::vector<bytes>;
+
+bytes bytes_of(std::string_view text)
+{
+    return {text.begin(), text.end()};
+}
+
+template <class... Message>
+bytes frames(Message... message)
+{
+    bytes result;
+    const auto add = [&result](const bytes& frame) {
+        result.insert(result.end(), frame.begin(), frame.end());
+    };
+    (add(wire::encode_frame(std::move(message))), ...);
+    return result;
+}
+
+wire::hello_message hello(const std::string& id)
+{
+    wire::hello_message message;
+    message.protocol = wire::protocol_version;
+    message.id = id;
+    message.zone = "a";
+    message.incarnation = 7;
+    return message;
+}
+
+std::unique_ptr<wire::target_fact_message> fact()
+{
+    auto result = std::make_unique<wire::target_fact_message>();
+    result->target = "q1";
+    result->boot_id = "b1";
+    result->reachable = true;
+    auto held = std::make_unique<wire::held_snapshot_message>();
+    held->version = 3;
+    held->shards = 2;
+    result->snapshots.push_back(std::move(held));
+    return result;
+}
+
+wire::heartbeat_message heartbeat(std::uint64_t sequence)
+{
+    wire::heartbeat_message message;
+    message.sequence = sequence;
+    message.applied_revision = 6;
+    message.full_facts = true;
+    message.facts.push_back(fact());
+    auto released = std::make_unique<wire::released_target_message>();
+    released->target = "q1";
+    released->fence = 1;
+    released->warm = true;
+    released->pace_milli_per_s = 5000;
+    message.released.push_back(std::move(released));
+    return message;
+}
+
+const std::string claimed_id = std::to_string(deployment_time_ms) + "-b";
+
+wire::claim_request_message claim_request()
+{
+    wire::claim_request_message message;
+    message.request_id = claimed_id;
+    message.service = "book";
+    message.incarnation = 7;
+    message.attempt = 1;
+    return message;
+}
+
+wire::claim_outcome_message claim_outcome()
+{
+    wire::claim_outcome_message message;
+    message.request_id = claimed_id;
+    message.incarnation = 7;
+    message.attempt = 1;
+    message.body = bytes_of("{}");
+    return message;
+}
+
+control::cluster_state deployed()
+{
+    control::cluster_state state;
+    std::uint64_t index = 0;
+    for (const bytes& command : small_deployment()) {
+        state.apply(base::log_index(++index), command);
+    }
+    return state;
+}
+
+wire::configuration_update_message configuration()
+{
+    wire::configuration_update_message message;
+    message.value = std::make_unique<wire::configuration_message>(
+        control::to_message(deployed().current()));
+    return message;
+}
+
+wire::roster_update_message roster()
+{
+    wire::roster_update_message message;
+    message.sequence = 1;
+    message.full = true;
+    message.facts.push_back(fact());
+    return message;
+}
+
+wire::part_reply_message part_reply()
+{
+    wire::part_reply_message message;
+    message.query_id = 1;
+    message.part_id = 1;
+    message.boot_id = "b1";
+    message.snapshot = 3;
+    message.shards = 2;
+    message.service_time_ms = 4;
+    message.body = bytes_of("{}");
+    return message;
+}
+
+wire::claim_reply_message claim_reply()
+{
+    wire::claim_reply_message message;
+    message.request_id = "r1";
+    message.attempt = 1;
+    return message;
+}
+
+consensus::member voter(const char* id)
+{
+    return {base::member_id(id), *base::endpoint::parse("127.0.0.1:4001"),
+            consensus::member_role::voter};
+}
+
+bytes encoded_membership()
+{
+    return consensus::membership({voter("c1"), voter("c2"), voter("c3")}).encode();
+}
+
+consensus::append_request append()
+{
+    consensus::append_request request;
+    request.term = base::term(2);
+    request.leader = base::member_id("c2");
+    request.previous_index = base::log_index(1);
+    request.previous_term = consensus::first_log_entry({}).term;
+    request.commit_index = base::log_index(2);
+    request.round = 1;
+    request.entries = {
+        {base::term(2), base::log_index(2), storage::entry_kind::command, {1, 2}},
+        {base::term(2), base::log_index(3), storage::entry_kind::membership,
+         encoded_membership()}};
+    return request;
+}
+
+consensus::snapshot_chunk snapshot_chunk()
+{
+    consensus::snapshot_chunk chunk;
+    chunk.term = base::term(2);
+    chunk.leader = base::member_id("c2");
+    chunk.last_index = base::log_index(9);
+    chunk.last_term = base::term(2);
+    chunk.total = 3;
+    chunk.membership = encoded_membership();
+    chunk.data = {1, 2, 3};
+    return chunk;
+}
+
+bytes consensus_frames(const std::vector<consensus::message_body>& messages)
+{
+    bytes result;
+    for (const consensus::message_body& message : messages) {
+        const bytes frame = consensus::to_frame(message);
+        result.insert(result.end(), frame.begin(), frame.end());
+    }
+    return result;
+}
+
+inputs consensus_inputs()
+{
+    using namespace consensus;
+    const base::member_id self("c1");
+    const base::member_id other("c2");
+    const base::term term(1);
+    vote_request vote{true, base::term(2), other, base::log_index(1), base::term(1)};
+    // Many time steps, then the votes and the acknowledgement of two followers.
+    std::vector<message_body> elected(25, vote_reply{true, {}, other, false});
+    elected.insert(elected.end(),
+                   {vote_reply{true, term, other, true},
+                    vote_reply{false, term, other, true},
+                    append_reply{term, other, true, base::log_index(2), 1},
+                    snapshot_reply{term, other, base::log_index(9), 3, 1}});
+    return {consensus_frames({vote, append(), append()}),
+            consensus_frames({snapshot_chunk(), append()}), consensus_frames(elected)};
+}
+
+inputs command_inputs()
+{
+    inputs result;
+    bytes all;
+    for (const bytes& command : small_deployment()) {
+        bytes one;
+        add_chunk(one, command);
+        result.push_back(one);
+        add_chunk(all, command);
+    }
+    result.push_back(all);
+    return result;
+}
+
+bytes file_chunk(std::uint8_t name, const bytes& content)
+{
+    bytes result{name};
+    result.insert(result.end(), content.begin(), content.end());
+    return result;
+}
+
+inputs log_store_inputs()
+{
+    using storage::internal::byte_writer;
+    const std::vector<storage::log_entry> first{{base::term(1), base::log_index(1),
+                                                 storage::entry_kind::membership,
+                                                 encoded_membership()}};
+    const std::vector<storage::log_entry> more{
+        {base::term(1), base::log_index(2), storage::entry_kind::command, {1, 2}},
+        {base::term(1), base::log_index(3), storage::entry_kind::empty, {}}};
+    byte_writer identity;
+    identity.put_string(bytes_of("c1"));
+    identity.put_string(storage::internal::encode_entries(first));
+    byte_writer vote;
+    vote.put(std::uint64_t{1});
+    vote.put_string(bytes_of("c1"));
+    byte_writer snapshot;
+    snapshot.put(std::uint64_t{1});
+    snapshot.put(std::uint64_t{1});
+    snapshot.put(std::uint64_t{1});
+    snapshot.put_string(encoded_membership());
+    snapshot.put_string(bytes_of("state"));
+    bytes folder;
+    add_chunk(folder, file_chunk(0, identity.take()));
+    add_chunk(folder, file_chunk(1, vote.take()));
+    bytes with_log = folder;
+    add_chunk(with_log, file_chunk(3, storage::internal::encode_entries(more)));
+    bytes with_snapshot = with_log;
+    add_chunk(with_snapshot, file_chunk(2, snapshot.take()));
+    return {folder, with_log, with_snapshot};
+}
+
+inputs operator_inputs()
+{
+    return {bytes_of(R"(0{"intent": {"kind": "zone_out", "zone": "a"}})"),
+            bytes_of(R"(0{"intent": {"kind": "create_service", "service": "s",
+"service_kind": "query", "demand_complete": true, "default_deadline_ms": 100,
+"max_deadline_ms": 200, "max_body_bytes": 10, "targets": [{"target": "t", "zone": "a",
+"address": "127.0.0.9:1", "slots": 2, "connections": 25, "connect_cost_ms": 6}]}})"),
+            bytes_of(R"(0{"intent": {"kind": "set_limit", "service": "desk", "slots": 3,
+"connections": 30, "max_deadline_ms": 1000}})"),
+            bytes_of(R"(0{"intent": {"kind": "replace_member", "member": "c1",
+"new_member": "c4", "peer_address": "127.0.0.9:2"}})"),
+            bytes_of(R"(0{"intent": {"kind": "add_vm", "vm": "vm3", "zone": "a",
+"peer_address": "127.0.0.9:3"}})"),
+            bytes_of(R"(1{"intent_id": "x", "operator": "op", "plan_id": "p",
+"base_revision": 5, "intent": {"kind": "retire_vm", "vm": "vm2"}})")};
+}
+
+bytes example(const std::string& name)
+{
+    std::ifstream file(std::string(EXAMPLES_FOLDER) + "/" + name, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+} // namespace
+
+std::map<std::string, std::vector<std::vector<std::uint8_t>>> all_seeds()
+{
+    wire::part_cancel_message cancel;
+    cancel.part_id = 1;
+    return {{"command_fuzz", command_inputs()},
+            {"consensus_fuzz", consensus_inputs()},
+            {"controller_fuzz",
+             {frames(hello("vm1"), heartbeat(1), heartbeat(2), claim_request(),
+                     claim_outcome()),
+              frames(hello("vm2"), heartbeat(1), hello("vm1"), heartbeat(2))}},
+            {"entry_fuzz",
+             {frames(configuration(), roster(), part_reply(), part_reply()),
+              frames(claim_reply(), wire::claim_outcome_ack_message{})}},
+            {"filter_fuzz",
+             {bytes_of("POST\n/v1/query/desk\n\n100\nbody"),
+              bytes_of("POST\n/v1/order/book\n1700000000000-a\n\nbody")}},
+            {"frame_fuzz",
+             {frames(hello("vm1"), heartbeat(1), cancel),
+              frames(heartbeat(1), wire::vote_reply_message{})}},
+            {"log_store_fuzz", log_store_inputs()},
+            {"operator_api_fuzz", operator_inputs()},
+            {"settings_fuzz", {example("entry.toml"), example("control.toml")}},
+            {"snapshot_fuzz", {deployed().snapshot()}}};
+}
+
+} // namespace curranthoist::testing::fuzz
