Bound what damaged reports of targets can cost the routing

A reported queue length and service time were multiplied as they came: the sum of the lengths wrapped around at 32 bits and the product overflowed, so that the target with the longest queue looked idle.

The replica choice clamps both figures before it multiplies them.

--- a/curranthoist/routing/load_table.hpp
+++ b/curranthoist/routing/load_table.hpp
@@ -18,7 +18,11 @@
     base::duration service_time;
     base::instant last_sent;
 
-    [[nodiscard]] std::uint32_t total() const { return reported + outstanding; }
+    // Wider than its parts, because a peer may report any number.
+    [[nodiscard]] std::uint64_t total() const
+    {
+        return std::uint64_t{reported} + outstanding;
+    }
 };
 
 // The loads of all targets that this VM sends to, shared by its queries and orders.
--- a/curranthoist/routing/replica_choice.cpp
+++ b/curranthoist/routing/replica_choice.cpp
@@ -10,9 +10,13 @@
 {
     // A cold target runs one request at a time at a limited rate.
     constexpr std::int64_t cold_factor = 4;
+    // Figures come from other VMs; with these bounds the product can't overflow.
+    constexpr std::int64_t longest_ms = 600'000;
+    constexpr std::uint64_t most_ahead = 1'000'000;
     const std::int64_t length =
-        std::max<std::int64_t>(1, option.load.service_time.count());
-    const std::int64_t ahead = std::int64_t{option.load.total()} + 1;
+        std::clamp<std::int64_t>(option.load.service_time.count(), 1, longest_ms);
+    const auto ahead =
+        static_cast<std::int64_t>(std::min(option.load.total() + 1, most_ahead));
     return ahead * length * (option.where->cold ? cold_factor : 1);
 }
 
--- a/curranthoist/routing/replica_choice_test.cpp
+++ b/curranthoist/routing/replica_choice_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <limits>
 
 namespace curranthoist::routing {
 namespace {
@@ -114,5 +115,17 @@
     EXPECT_FALSE(configured_hedging::named("p90"));
 }
 
+// A peer's reply may report any figures. Their product overflowed, and the target with
+// the longest queue looked idle.
+TEST_F(replica_choice_test, the_largest_reported_load_is_not_taken_for_an_idle_target)
+{
+    replicas[0].cold = true;
+    candidates[0].load.reported = std::numeric_limits<std::uint32_t>::max();
+    candidates[0].load.outstanding = 1;
+    candidates[0].load.service_time =
+        base::duration(std::numeric_limits<std::int64_t>::max());
+    EXPECT_EQ(counts(power_of_two())[0], 0);
+}
+
 } // namespace
 } // namespace curranthoist::routing
--- a/curranthoist/routing/shard_map.hpp
+++ b/curranthoist/routing/shard_map.hpp
@@ -23,6 +23,12 @@
 
     // A larger map in a fact is taken as damaged data and the fact's snapshot ignored.
     static constexpr std::uint32_t max_shards = 65'536;
+    // Of one fact, only this many snapshots count, the newest; a target holds the one in
+    // use and a few that are being loaded or dropped.
+    static constexpr std::size_t max_snapshots = 8;
+    // Further snapshots of a service are ignored once its map has this many shards, so
+    // that damaged facts can't exhaust the memory: a shard takes 24 bytes.
+    static constexpr std::size_t max_service_shards = 16 * std::size_t{max_shards};
 
     shard_map() = default;
     shard_map(const control::configuration& configuration, const fact_map& facts);
--- a/curranthoist/routing/shard_map_test.cpp
+++ b/curranthoist/routing/shard_map_test.cpp
@@ -104,6 +104,22 @@
     EXPECT_EQ(map()->snapshots.size(), 1U);
 }
 
+// Each version of a map of 65,536 shards takes 1.5 MB; one damaged fact could name enough
+// of them to exhaust the memory.
+TEST_F(shard_map_test, a_fact_with_many_large_snapshots_takes_bounded_memory)
+{
+    for (std::uint64_t version = 100; version < 164; ++version) {
+        hold(first, version, 0, shard_map::max_shards);
+    }
+    const auto held = map();
+    std::size_t shards = 0;
+    for (const auto& [version, view] : held->snapshots) {
+        shards += view.shards.size();
+    }
+    EXPECT_LE(shards, 16U * shard_map::max_shards);
+    EXPECT_TRUE(held->snapshots.contains(base::snapshot_version(1)));
+}
+
 TEST_F(shard_map_test, an_unknown_service_has_no_map)
 {
     EXPECT_EQ(shard_map(configuration, facts).find(base::service_id("x")), nullptr);
