Refuse malformed memberships, votes and identities

Cause: a member's role was converted from any JSON number, so that true, 1.5 or 1e300 were accepted or converted without a defined value. A vote file with a right checksum and a short content read as term 0 without a vote, which would let the member vote twice; an identity could be empty.

Ruled out: changed bytes in these files are found by their checksum, and a test covers every byte. This is about a file that was sealed with wrong content.

Change: only an unsigned integer is a role; the vote and the identity must end where their content ends, and the identity must name the member.

Conclusion: a member does not start from a vote that it can't read.

--- a/curranthoist/consensus/membership.cpp
+++ b/curranthoist/consensus/membership.cpp
@@ -43,14 +43,19 @@
     throw base::findings_error(found);
 }
 
+// Higher than any member_role.
+constexpr std::uint64_t no_role = 255;
+
 member decode_member(const json& value)
 {
     member result;
     result.id = base::member_id(value.at("id").get<std::string>());
     const auto address = base::endpoint::parse(value.at("address").get<std::string>());
-    const auto role = value.at("role").get<unsigned>();
+    // Only an integer converts: a fraction out of the type's range has no defined value.
+    const json& number = value.at("role");
+    const auto role = number.is_number_unsigned() ? number.get<std::uint64_t>() : no_role;
     if (result.id.empty() || !address ||
-        role > static_cast<unsigned>(member_role::leaving)) {
+        role > static_cast<std::uint64_t>(member_role::leaving)) {
         throw_malformed("member entry is malformed");
     }
     result.address = *address;
--- a/curranthoist/consensus/replica_test.cpp
+++ b/curranthoist/consensus/replica_test.cpp
@@ -274,5 +274,18 @@
     EXPECT_NE(joint.refusal({kind::remove, id(2), {}, {}}), "");
 }
 
+// A role of 1e300 was converted to an integer, which is undefined.
+TEST(membership_test, a_role_that_is_no_small_integer_is_refused)
+{
+    for (const char* role : {"1e300", "-1", "1.5", "true", "4294967296"}) {
+        const std::string text =
+            std::string(
+                R"({"members": [{"id": "c1", "address": "127.0.0.1:1", "role": )") +
+            role + R"(}], "outgoing": [], "replaced": "", "replacement": ""})";
+        const std::vector<std::uint8_t> bytes(text.begin(), text.end());
+        EXPECT_THROW(membership::decode(bytes), base::findings_error) << role;
+    }
+}
+
 } // namespace
 } // namespace curranthoist::consensus
--- a/curranthoist/storage/internal/log_store_open.hpp
+++ b/curranthoist/storage/internal/log_store_open.hpp
@@ -64,7 +64,7 @@
         internal::byte_reader reader(*identity);
         recovered_.identity = base::member_id(internal::as_text(reader.get_string()));
         auto first = internal::decode_entries(reader.get_string());
-        if (!reader.ok() || !first) {
+        if (!reader.ok() || !reader.at_end() || recovered_.identity.empty() || !first) {
             found.add(std::string(internal::identity_name) + ":0", "file is malformed");
         }
         else {
@@ -83,6 +83,9 @@
         recovered_.vote.term = base::term(reader.get<std::uint64_t>());
         recovered_.vote.voted_for =
             base::member_id(internal::as_text(reader.get_string()));
+        if (!reader.ok() || !reader.at_end()) {
+            found.add(std::string(internal::vote_name) + ":0", "file is malformed");
+        }
     }
     if (internal::contains(names, internal::snapshot_name)) {
         read_snapshot(found);
--- a/curranthoist/storage/log_store_test.cpp
+++ b/curranthoist/storage/log_store_test.cpp
@@ -256,6 +256,21 @@
     }
 }
 
+// Guards against a vote that reads as term 0, so that the member could vote twice.
+TEST(log_store_test, refuses_small_files_that_are_sealed_but_malformed)
+{
+    const std::vector<std::uint8_t> short_payload = {1, 2, 3};
+    for (const auto& [name, kind] :
+         {std::pair("vote", internal::file_kind::vote),
+          std::pair("identity", internal::file_kind::identity),
+          std::pair("snapshot", internal::file_kind::snapshot)}) {
+        fault_disk disk;
+        initialise(disk);
+        disk.create(name)->bytes = internal::seal_file(kind, short_payload);
+        EXPECT_THROW(log_store<fault_disk>{disk}, base::findings_error) << name;
+    }
+}
+
 TEST(log_store_test, initialises_only_a_folder_without_state)
 {
     fault_disk disk;
