--- a/curranthoist/control/claim_store.cpp
+++ b/curranthoist/control/claim_store.cpp
@@ -147,12 +147,15 @@
     return {text.begin(), text.end()};
 }
 
-void claim_store::restore(const base::request_id& id, claim_record value)
+bool claim_store::restore(const base::request_id& id, claim_record value)
 {
-    if (const std::optional<base::instant> time = time_in(id)) {
-        total_body_bytes_ += value.body.size();
-        claims_.insert_or_assign(key(*time, id), std::move(value));
+    const std::optional<base::instant> time = time_in(id);
+    const std::size_t size = value.body.size();
+    if (!time || !claims_.emplace(key(*time, id), std::move(value)).second) {
+        return false;
     }
+    total_body_bytes_ += size;
+    return true;
 }
 
 } // namespace curranthoist::control
--- a/curranthoist/control/claim_store.hpp
+++ b/curranthoist/control/claim_store.hpp
@@ -76,8 +76,8 @@
             visit(timed_id.second, value);
         }
     }
-    // Puts back a record of a snapshot.
-    void restore(const base::request_id& id, claim_record value);
+    // Puts back a record of a snapshot. Returns false if the id has no time or is held.
+    [[nodiscard]] bool restore(const base::request_id& id, claim_record value);
 
 private:
     using key = std::pair<base::instant, base::request_id>;
--- a/curranthoist/control/cluster_state_snapshot.cpp
+++ b/curranthoist/control/cluster_state_snapshot.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/base/findings_error.hpp"
 #include "curranthoist/control/cluster_state.hpp"
+#include "curranthoist/control/commands.hpp"
 #include "curranthoist/control/configuration_codec.hpp"
 #include "curranthoist/wire/generated/messages_generated.h"
 
@@ -10,8 +11,18 @@
 
 namespace {
 
+[[noreturn]] void refuse(const std::string& what)
+{
+    base::findings found;
+    found.add("state snapshot", what);
+    throw base::findings_error(found);
+}
+
 base::instant instant_of(std::uint64_t milliseconds)
 {
+    if (milliseconds > max_wall_time_ms) {
+        refuse("the time " + std::to_string(milliseconds) + " is out of range");
+    }
     return base::instant(static_cast<std::int64_t>(milliseconds));
 }
 
@@ -54,6 +65,9 @@
 
 claim_record unpack(const encoded::kept_claim_message& kept)
 {
+    if (kept.status > encoded::claim_status::MAX) {
+        refuse("claim " + kept.request_id + " has an unknown status");
+    }
     return claim_record{base::vm_id(kept.vm),
                         base::incarnation(kept.incarnation),
                         kept.attempt,
@@ -82,13 +96,6 @@
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
-[[noreturn]] void refuse(const std::string& what)
-{
-    base::findings found;
-    found.add("state snapshot", what);
-    throw base::findings_error(found);
-}
-
 configuration unpack_configuration(const std::vector<std::uint8_t>& bytes)
 {
     flatbuffers::Verifier verifier(bytes.data(), bytes.size());
@@ -169,7 +176,9 @@
     state.applied_index_ = base::log_index(content->applied_index);
     state.last_fence_ = base::fence(content->last_fence);
     for (const auto& kept : content->claims) {
-        state.claims_.restore(base::request_id(kept->request_id), unpack(*kept));
+        if (!state.claims_.restore(base::request_id(kept->request_id), unpack(*kept))) {
+            refuse("claim " + kept->request_id + " has no time in its id or is repeated");
+        }
     }
     for (const auto& kept : content->operator_decisions) {
         state.operator_decisions_.push_back(unpack(*kept));
@@ -179,9 +188,15 @@
     }
     for (const auto& kept : content->outcomes) {
         const base::intent_id id(kept->intent_id);
-        state.outcomes_[id] =
-            intent_outcome{kept->digest, instant_of(kept->time_ms),
-                           base::revision(kept->revision), kept->changes};
+        const bool added =
+            state.outcomes_
+                .emplace(id,
+                         intent_outcome{kept->digest, instant_of(kept->time_ms),
+                                        base::revision(kept->revision), kept->changes})
+                .second;
+        if (!added) {
+            refuse("intent " + kept->intent_id + " is repeated");
+        }
         state.outcome_order_.push_back(id);
     }
     for (const auto& kept : content->incarnations) {
--- a/curranthoist/control/commands.hpp
+++ b/curranthoist/control/commands.hpp
@@ -28,7 +28,12 @@
     return internal::pack_command(command);
 }
 
-// The command in `bytes`, or nullptr if they fail verification or hold none.
+// The latest wall time, in milliseconds, that a command or a state snapshot may carry:
+// the year 4199. Lengths of time can be added to it without overflow.
+constexpr std::uint64_t max_wall_time_ms = std::uint64_t{1} << 46;
+
+// The command in `bytes`, or nullptr if they fail verification, hold none, or hold a time
+// or an enumerator out of range.
 std::unique_ptr<encoded::command_message>
 decode_command(std::span<const std::uint8_t> bytes);
 
--- a/curranthoist/control/configuration_codec.cpp
+++ b/curranthoist/control/configuration_codec.cpp
@@ -73,11 +73,6 @@
     return entry;
 }
 
-base::duration milliseconds(std::uint64_t count)
-{
-    return base::duration(static_cast<std::int64_t>(count));
-}
-
 // Turns the entries of a message into a configuration and collects what can't be read.
 class reader
 {
@@ -103,6 +98,7 @@
         }
         for (const auto& entry : message.assignments) {
             check_id("assignment", entry->target);
+            check_enumerator("assignment " + entry->target + " phase", entry->phase);
             result_.assignments[base::target_id(entry->target)] =
                 assignment{base::vm_id(entry->owner), base::fence(entry->fence),
                            static_cast<assignment_phase>(entry->phase), entry->warm,
@@ -120,6 +116,26 @@
         }
     }
 
+    // A length of time that can be added to any time of a clock.
+    base::duration milliseconds(const std::string& place, std::uint64_t count)
+    {
+        constexpr std::uint64_t longest_ms = 24ULL * 60 * 60 * 1000;
+        if (count > longest_ms) {
+            found_.add(place, std::to_string(count) + " ms is longer than a day");
+            return {};
+        }
+        return base::duration(static_cast<std::int64_t>(count));
+    }
+
+    template <class Enumeration>
+    void check_enumerator(const std::string& place, Enumeration value)
+    {
+        if (value > Enumeration::MAX) {
+            found_.add(place, std::to_string(static_cast<unsigned>(value)) +
+                                  " has no meaning here");
+        }
+    }
+
     base::endpoint address(const std::string& place, const std::string& text)
     {
         const std::optional<base::endpoint> parsed = base::endpoint::parse(text);
@@ -136,8 +152,12 @@
         service_spec spec;
         spec.kind = static_cast<service_kind>(entry.kind);
         spec.demand_complete = entry.demand_complete;
-        spec.default_deadline = milliseconds(entry.default_deadline_ms);
-        spec.max_deadline = milliseconds(entry.max_deadline_ms);
+        const std::string place = "service " + entry.id;
+        check_enumerator(place + " kind", entry.kind);
+        spec.default_deadline =
+            milliseconds(place + " default_deadline_ms", entry.default_deadline_ms);
+        spec.max_deadline =
+            milliseconds(place + " max_deadline_ms", entry.max_deadline_ms);
         spec.max_body_bytes = entry.max_body_bytes;
         result_.services[base::service_id(entry.id)] = spec;
     }
@@ -151,7 +171,8 @@
         spec.address = address("target " + entry.id, entry.address);
         spec.slots = entry.slots;
         spec.connections = entry.connections;
-        spec.connect_cost = milliseconds(entry.connect_cost_ms);
+        spec.connect_cost = milliseconds("target " + entry.id + " connect_cost_ms",
+                                         entry.connect_cost_ms);
         spec.in_service = entry.in_service;
         result_.targets[base::target_id(entry.id)] = spec;
     }
--- a/curranthoist/control/configuration_codec_test.cpp
+++ b/curranthoist/control/configuration_codec_test.cpp
@@ -49,5 +49,24 @@
     }
 }
 
+// Guards against deadlines that overflow when they are added to a time, and against
+// enumerators that no switch knows.
+TEST(configuration_codec_test, values_out_of_range_are_reported)
+{
+    wire::configuration_message message = to_message(sample());
+    message.services[0]->default_deadline_ms = std::uint64_t{1} << 63;
+    message.services[0]->max_deadline_ms = (std::uint64_t{1} << 63) - 1;
+    message.services[0]->kind = static_cast<wire::service_kind>(9);
+    message.targets[0]->connect_cost_ms = std::uint64_t{1} << 63;
+    message.assignments[0]->phase = static_cast<wire::assignment_phase>(9);
+    try {
+        from_message(message);
+        FAIL() << "no error was thrown";
+    }
+    catch (const base::findings_error& error) {
+        EXPECT_EQ(error.found().list().size(), 5U) << error.found().str();
+    }
+}
+
 } // namespace
 } // namespace curranthoist::control
