--- a/curranthoist/testing/process_fixture.cpp
+++ b/curranthoist/testing/process_fixture.cpp
@@ -1,6 +1,8 @@
 #include "curranthoist/testing/process_fixture.hpp"
 
+#include "curranthoist/http/status.hpp"
 #include "curranthoist/http/target_client.hpp"
+#include "curranthoist/testing/loopback.hpp"
 
 #include <ev++.h>
 
@@ -17,8 +19,6 @@
 
 using nlohmann::json;
 
-constexpr unsigned status_ok = 200;
-
 std::string make_folder()
 {
     std::string path =
@@ -44,13 +44,7 @@
 
 std::string process_fixture::new_address()
 {
-    // 127.a.b.c with the process id in a and b. 127.0 and 127.255 are left to others.
-    constexpr unsigned byte = 256;
-    constexpr unsigned usable = 254;
-    const auto id = static_cast<unsigned>(::getpid());
-    ++last_address_;
-    return "127." + std::to_string(1 + id / byte % usable) + "." +
-           std::to_string(id % byte) + "." + std::to_string(last_address_);
+    return loopback_address(++last_address_);
 }
 
 child_process& process_fixture::start(std::string_view program,
@@ -83,7 +77,7 @@
     call.method = "GET";
     call.path = path;
     const http::target_result result = send(remote, std::move(call));
-    if (result.outcome != http::call_outcome::ok || result.status != status_ok) {
+    if (result.outcome != http::call_outcome::ok || result.status != http::status::ok) {
         return nullptr;
     }
     const json body = json::parse(result.body, nullptr, false);
@@ -109,7 +103,8 @@
             call.method = "GET";
             call.path = path;
             const http::target_result result = send(remote, std::move(call));
-            return result.outcome == http::call_outcome::ok && result.status == status_ok;
+            return result.outcome == http::call_outcome::ok &&
+                   result.status == http::status::ok;
         },
         limit);
 }
