Refuse a target's status whose number of shards exceeds 32 bits

Cause: the number of shards in a target's status was cut to 32 bits, so that 2^32 + 2 became a map of 2 shards, and the coverage would be overstated.

Ruled out: the limit of 65,536 shards in shard_map applies after the cut.

Change: parse_status refuses a larger number.

Conclusion: a damaged status counts as no status.

--- a/curranthoist/entry/answer_check_test.cpp
+++ b/curranthoist/entry/answer_check_test.cpp
@@ -109,7 +109,10 @@
         const char* bad :
         {"", "[]", "{}", R"({"boot_id":1,"draining":true})",
          R"({"boot_id":"b","draining":false,"snapshots":[{"version":4,"shard":2,"shards":2}]})",
-         R"({"boot_id":"b","draining":false,"snapshots":{"a":1}})"}) {
+         R"({"boot_id":"b","draining":false,"snapshots":{"a":1}})",
+         // 2^32 + 2 shards: cut to 2, the map would be too small and the coverage too
+         // high.
+         R"({"boot_id":"b","draining":false,"snapshots":[{"version":4,"shard":1,"shards":4294967298}]})"}) {
         EXPECT_FALSE(parse_status(bad)) << bad;
     }
 }
--- a/curranthoist/entry/status_report.cpp
+++ b/curranthoist/entry/status_report.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 namespace curranthoist::entry {
 
 namespace {
@@ -20,6 +22,12 @@
         }
     }
     routing::held_snapshot held;
+    // A larger number would be cut to 32 bits, and a map that is too small would
+    // overstate the coverage.
+    if (value["shards"].get<std::uint64_t>() >
+        std::numeric_limits<std::uint32_t>::max()) {
+        return std::nullopt;
+    }
     held.version = base::snapshot_version(value["version"].get<std::uint64_t>());
     held.shard = base::shard_number(value["shard"].get<std::uint64_t>());
     held.shards = value["shards"].get<std::uint32_t>();
