Measure a failover in the capacity probe

Cause: after a failover every VM gets the whole roster, and the revisions of all VMs are known only from their heartbeats; no figure showed either.

Ruled out: reading it off the figures of a first start, where every VM also gets the whole configuration.

Change: the probe elects another leader with the same state and runs 10 s.

--- a/curranthoist/testing/capacity/fleet_model.cpp
+++ b/curranthoist/testing/capacity/fleet_model.cpp
@@ -353,6 +353,15 @@
     settle();
 }
 
+void fleet_model::fail_over()
+{
+    controller_.on_leadership_lost();
+    controller_.on_leadership_gained(now());
+    for (vm_model& vm : vms_) {
+        vm.report_facts = true;
+    }
+}
+
 void fleet_model::change_limit()
 {
     control::encoded::intent_message value;
--- a/curranthoist/testing/capacity/fleet_model.hpp
+++ b/curranthoist/testing/capacity/fleet_model.hpp
@@ -53,6 +53,8 @@
     void stop_vm(std::size_t number);
     // The VM comes back as a new process.
     void restart_vm(std::size_t number);
+    // Another leader is elected and the VMs report all their facts to it.
+    void fail_over();
     // Applies an operator's change of one service's limits.
     void change_limit();
     // The VM's next heartbeat reports that one of its targets turned cold or warm.
--- a/curranthoist/testing/capacity/main.cpp
+++ b/curranthoist/testing/capacity/main.cpp
@@ -153,6 +153,14 @@
     print_moves("vm_return", fleet, size);
 }
 
+void measure_failover(fleet_model& fleet, const fleet_size& size)
+{
+    fleet.reset_traffic();
+    fleet.fail_over();
+    fleet.run(10_s);
+    print_moves("failover", fleet, size);
+}
+
 // What one VM keeps of the configuration and the roster.
 void measure_vm_memory(const fleet_model& fleet)
 {
@@ -206,6 +214,7 @@
     print("leader_memory", heap_bytes() - before, "bytes");
     measure_changes(fleet, size, quiet);
     measure_loss(fleet, size, quiet);
+    measure_failover(fleet, size);
     measure_state(fleet);
     measure_vm_memory(fleet);
 }
