--- a/curranthoist/testing/child_process.cpp
+++ b/curranthoist/testing/child_process.cpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/testing/wait_until.hpp"
 
+#include <cerrno>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -9,6 +10,7 @@
 
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -87,6 +89,14 @@
     return exit_code_;
 }
 
+void child_process::limit_file_size(std::uint64_t bytes)
+{
+    const rlimit limit{bytes, bytes};
+    if (::prlimit(id_, RLIMIT_FSIZE, &limit, nullptr) != 0) {
+        throw std::system_error(errno, std::generic_category(), "prlimit");
+    }
+}
+
 void child_process::kill_now()
 {
     send_signal(SIGKILL);
--- a/curranthoist/testing/child_process.hpp
+++ b/curranthoist/testing/child_process.hpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/duration.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,6 +30,10 @@
     // Waits for the end; returns the exit code, or 128 plus the signal that ended it, or
     // nothing if it still runs after `limit`.
     std::optional<int> wait_for_exit(base::duration limit = base::duration(10'000));
+    // From now on a write beyond this offset of any file fails in the process; a test
+    // that wants an error rather than SIGXFSZ ignores that signal before it starts the
+    // process. Throws std::system_error.
+    void limit_file_size(std::uint64_t bytes);
     // SIGKILL, and waits for the end.
     void kill_now();
 
