--- a/curranthoist/testing/proof/deployment.cpp
+++ b/curranthoist/testing/proof/deployment.cpp
@@ -1,7 +1,5 @@
 #include "curranthoist/testing/proof/deployment.hpp"
 
-#include "curranthoist/base/wall_clock.hpp"
-
 #include <algorithm>
 #include <fstream>
 #include <sstream>
@@ -256,14 +254,15 @@
                                            id,
                                            "--service",
                                            name,
-                                           "--service-ms",
-                                           "2",
                                            "--service-shape",
                                            "fixed",
                                            "--shard",
                                            std::to_string(shard),
                                            "--shards",
                                            std::to_string(shards)};
+        if (std::find(options.begin(), options.end(), "--service-ms") == options.end()) {
+            arguments.insert(arguments.end(), {"--service-ms", "2"});
+        }
         arguments.insert(arguments.end(), options.begin(), options.end());
         targets_[id] = {zone, address, &start("curranthoist-target", arguments)};
         if (linked) {
