--- a/curranthoist/testing/proof/lease_proof_test.cpp
+++ b/curranthoist/testing/proof/lease_proof_test.cpp
@@ -101,6 +101,35 @@
     EXPECT_EQ(order_runs(id), 1U);
 }
 
+// R4, R10: a leader that wakes up after its term and grants leases for a zone that the
+// next leader has taken out.
+TEST_F(lease_proof_test, a_leader_frozen_past_every_lease_grants_none_when_it_wakes)
+{
+    start_serving(false);
+    query_load load(2, [this](unsigned thread) { return query(thread, "desk"); });
+    EXPECT_TRUE(wait_until([&] { return load.complete() > 20; }));
+    const unsigned frozen = leader();
+    members_[frozen].process->send_signal(SIGSTOP);
+    EXPECT_TRUE(wait_until([&] { return leader() != frozen; }));
+    apply({{"kind", "zone_out"}, {"zone", "b"}});
+    const std::int64_t out_at = now_ms();
+    EXPECT_TRUE(wait_until([&] { return now_ms() > out_at + zone_out_limit.count(); }));
+    members_[frozen].process->send_signal(SIGCONT);
+    constexpr unsigned redirect = 307;
+    EXPECT_TRUE(wait_until([&] {
+        return request({members_[frozen].address, operators_port}, "GET", "/v1/status",
+                       "")
+                   .status == redirect;
+    })) << "the former leader does not follow the new one";
+    const unsigned served = load.complete();
+    EXPECT_TRUE(wait_until([&] { return load.complete() > served + 50; }));
+    load.stop();
+    EXPECT_THAT(load.wrong(), IsEmpty());
+    EXPECT_LE(last_start_in_zone("b"), out_at + zone_out_limit.count());
+    EXPECT_FALSE(is_ready(1));
+    EXPECT_NE(leader(), frozen);
+}
+
 // R4: a VM that can't learn of changes and goes on working after its lease.
 TEST_F(lease_proof_test, a_vm_cut_off_from_control_stops_with_its_lease_and_returns)
 {
