Leave half of the budget for extra sends to retries

Cause: hedges start after the p95, so ordinary parts alone use up the budget of 5%. When connections went silent or an owner was killed, no token was left: those parts waited until the deadline and the answers were partial.

Ruled out: a target that is lost with its connections. Targets whose connections went silent kept getting work (64% to 67% of the starts before), and peak connections stayed at 12% of the limit.

Change: a hedge needs 11 of at most 20 tokens; a retry, and a send in place of a silent one, need one. The existing hedge test gets the reserve's tokens; a new test keeps its former three tokens and shows that they are for the retry.

The latency after the killed VM's targets got new owners (115 to 265 ms) is not mended by this.

--- a/curranthoist/routing/hedge_budget.cpp
+++ b/curranthoist/routing/hedge_budget.cpp
@@ -18,4 +18,9 @@
     return true;
 }
 
+bool hedge_budget::take_for_hedge()
+{
+    return credit_ >= (kept_for_retries + 1) * first_attempts_per_token && take();
+}
+
 } // namespace curranthoist::routing
--- a/curranthoist/routing/hedge_budget.hpp
+++ b/curranthoist/routing/hedge_budget.hpp
@@ -12,10 +12,14 @@
 public:
     static constexpr std::int64_t first_attempts_per_token = 20;
     static constexpr std::int64_t most_tokens = 20;
+    // What one owner VM with 11 targets loses at once, to the nearest ten.
+    static constexpr std::int64_t kept_for_retries = 10;
 
     void on_first_attempts(std::int64_t count);
-    // Takes a token; false if there is none.
+    // Takes a token for a retry; false if there is none.
     bool take();
+    // Takes a token for a hedge; false if that would use the reserve.
+    bool take_for_hedge();
 
 private:
     // In units of 1/20 token.
--- a/curranthoist/routing/replica_choice_test.cpp
+++ b/curranthoist/routing/replica_choice_test.cpp
@@ -90,6 +90,23 @@
     EXPECT_EQ(taken, 20);
 }
 
+// Guards against ordinary hedges that use up what retries after a fault need.
+TEST(hedge_budget_test, hedges_leave_the_reserve_to_retries)
+{
+    hedge_budget budget;
+    budget.on_first_attempts(100'000);
+    int hedges = 0;
+    while (budget.take_for_hedge()) {
+        ++hedges;
+    }
+    EXPECT_EQ(hedges, 10);
+    int retries = 0;
+    while (budget.take()) {
+        ++retries;
+    }
+    EXPECT_EQ(retries, 10);
+}
+
 TEST(latency_tracker_test, a_few_samples_do_not_start_early_hedges)
 {
     latency_tracker tracker;
--- a/curranthoist/routing/scatter_impl.hpp
+++ b/curranthoist/routing/scatter_impl.hpp
@@ -260,7 +260,9 @@
         return false;
     }
     const replica* where = choose(now, number, only_unloaded);
-    if (where == nullptr || !context_.budget.take()) {
+    const bool hedge = only_unloaded;
+    if (where == nullptr ||
+        !(hedge ? context_.budget.take_for_hedge() : context_.budget.take())) {
         return false;
     }
     ++extra_sends_;
--- a/curranthoist/routing/scatter_test.cpp
+++ b/curranthoist/routing/scatter_test.cpp
@@ -22,6 +22,13 @@
         context.budget.on_first_attempts(57);
     }
 
+    // The tokens that hedges leave to retries.
+    void add_reserve()
+    {
+        context.budget.on_first_attempts(hedge_budget::kept_for_retries *
+                                         hedge_budget::first_attempts_per_token);
+    }
+
     void add_version(std::uint64_t version)
     {
         auto& shards = map->snapshots[base::snapshot_version(version)].shards;
@@ -177,6 +184,7 @@
 
 TEST_F(scatter_test, a_slow_part_is_hedged_once_and_the_loser_cancelled)
 {
+    add_reserve();
     start();
     const auto parts = sent;
     deliver(parts[0], reply_to(parts[0]));
@@ -195,6 +203,19 @@
     EXPECT_TRUE(responses[0].complete());
 }
 
+// Guards against hedges of merely slow parts that leave none for broken connections.
+TEST_F(scatter_test, a_hedge_leaves_the_reserve_to_retries)
+{
+    start();
+    const auto parts = sent;
+    deliver(parts[0], reply_to(parts[0]));
+    deliver(parts[1], reply_to(parts[1]));
+    advance(100_ms);
+    EXPECT_TRUE(sent.empty()) << "three tokens are less than the reserve";
+    take(query->on_owner_lost(now, parts[2].where.owner));
+    EXPECT_EQ(sent.size(), 1U);
+}
+
 TEST_F(scatter_test, a_lost_owner_counts_as_a_failed_attempt)
 {
     start();
