Copy the target's id before the controller schedule toggles it

Cause: run() passed a reference to a key of out_since_ to toggle(), which erases that entry and reads the id afterwards: a heap use after free, found by the sanitized controller_schedule_test.

Ruled out: the code under test; both frames are in the test's schedule.

Change: run() passes a copy.

Before: AddressSanitizer ended controller_schedule_test. After: 3 of 3 cases pass with the sanitizers.

Conclusion: the fault was in the test only.

--- a/curranthoist/control/controller_schedule_test.hpp
+++ b/curranthoist/control/controller_schedule_test.hpp
@@ -44,7 +44,9 @@
     {
         faults_ = faults;
         while (!faults && !out_since_.empty()) {
-            toggle(out_since_.begin()->first);
+            // A copy, because toggle() erases the entry that holds the id.
+            const base::target_id id = out_since_.begin()->first;
+            toggle(id);
         }
         const base::instant end = now_ + time;
         while (now_ < end) {
