--- a/curranthoist/testing/fuzz/seeds.cpp
+++ b/curranthoist/testing/fuzz/seeds.cpp
@@ -284,15 +284,16 @@
 "base_revision": 5, "intent": {"kind": "retire_vm", "vm": "vm2"}})")};
 }
 
-bytes example(const std::string& name)
+bytes file_content(const std::string& name)
 {
-    std::ifstream file(std::string(EXAMPLES_FOLDER) + "/" + name, std::ios::binary);
+    std::ifstream file(name, std::ios::binary);
     return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
 } // namespace
 
-std::map<std::string, std::vector<std::vector<std::uint8_t>>> all_seeds()
+std::map<std::string, std::vector<std::vector<std::uint8_t>>>
+all_seeds(const std::string& examples)
 {
     wire::part_cancel_message cancel;
     cancel.part_id = 1;
@@ -313,7 +314,9 @@
               frames(heartbeat(1), wire::vote_reply_message{})}},
             {"log_store_fuzz", log_store_inputs()},
             {"operator_api_fuzz", operator_inputs()},
-            {"settings_fuzz", {example("entry.toml"), example("control.toml")}},
+            {"settings_fuzz",
+             {file_content(examples + "/entry.toml"),
+              file_content(examples + "/control.toml")}},
             {"snapshot_fuzz", {deployed().snapshot()}}};
 }
 
