Refuse a request id with control characters from another VM

Cause: a coordinator's request id becomes an HTTP header in the request to a target and part of log lines; callers' ids are checked, ids in relay messages were not, so a damaged one could add a header. Ruled out: a check in the target client, which would refuse the part after it was admitted. Change: the relay server closes a connection that sends such an id, by the rule that the caller's filter uses.

--- a/curranthoist/entry/filters/filter_chain.cpp
+++ b/curranthoist/entry/filters/filter_chain.cpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/findings.hpp"
 #include "curranthoist/control/configuration.hpp"
+#include "curranthoist/entry/request_id_text.hpp"
 #include "curranthoist/http/caller_request.hpp"
 #include "curranthoist/http/status.hpp"
 
@@ -14,8 +15,6 @@
 
 namespace {
 
-constexpr std::size_t max_request_id_bytes = 128;
-
 constexpr std::string_view query_prefix = "/v1/query/";
 constexpr std::string_view order_prefix = "/v1/order/";
 
@@ -24,13 +23,6 @@
     return refusal{status, std::move(error), request_outcome::not_run};
 }
 
-bool is_plain(char letter)
-{
-    constexpr char first_printable = ' ';
-    constexpr char last_printable = '~';
-    return letter >= first_printable && letter <= last_printable;
-}
-
 bool is_digit(char letter)
 {
     return letter >= '0' && letter <= '9';
@@ -68,8 +60,7 @@
         return {};
     }
     const std::string id = given.value_or(state.new_request_id);
-    if (id.empty() || id.size() > max_request_id_bytes ||
-        !std::all_of(id.begin(), id.end(), is_plain)) {
+    if (!is_request_id(id)) {
         found.add("Request-Id", "must be 1 to 128 printable characters");
     }
     else if (order && !is_order_id(id)) {
--- a/curranthoist/entry/filters/filter_chain_test.cpp
+++ b/curranthoist/entry/filters/filter_chain_test.cpp
@@ -145,6 +145,9 @@
         request_.headers["Request-Id"] = bad;
         EXPECT_EQ(refused(), 400U) << bad;
     }
+    // It would become a header of its own in the request to a target.
+    request_.headers["Request-Id"] = "17-a\r\nNot-Run: true";
+    EXPECT_EQ(refused(), 400U);
     request_.headers["Request-Id"] = std::string("17-") + std::string(200, 'a');
     EXPECT_EQ(refused(), 400U);
     request_.headers["Request-Id"] = "1700000000000-a";
--- a/curranthoist/entry/relay_server.cpp
+++ b/curranthoist/entry/relay_server.cpp
@@ -1,11 +1,24 @@
 #include "curranthoist/entry/relay_server.hpp"
 
+#include "curranthoist/entry/request_id_text.hpp"
+
 #include <utility>
 
 #include <unistd.h>
 
 namespace curranthoist::entry {
 
+namespace {
+
+template <class Message>
+bool has_request_id(const Message& message)
+{
+    return message.request_id() != nullptr &&
+           is_request_id(message.request_id()->string_view());
+}
+
+} // namespace
+
 relay_server::relay_server(ev::loop_ref loop, const base::endpoint& local,
                            base::vm_id self, std::size_t max_parts, part_server& own,
                            deferred_calls& deferred)
@@ -77,7 +90,8 @@
 bool relay_server::on_parts(std::uint64_t number, const session& from,
                             const wire::parts_request& message)
 {
-    if (message.parts() == nullptr || message.parts()->size() > max_parts_) {
+    if (message.parts() == nullptr || message.parts()->size() > max_parts_ ||
+        !has_request_id(message)) {
         return false;
     }
     wire::parts_request_message request;
@@ -91,7 +105,7 @@
 bool relay_server::on_order(std::uint64_t number, const session& from,
                             const wire::order_request& message)
 {
-    if (message.request_id() == nullptr || message.target() == nullptr) {
+    if (!has_request_id(message) || message.target() == nullptr) {
         return false;
     }
     wire::order_request_message request;
