--- a/curranthoist/control/configuration_codec.cpp
+++ b/curranthoist/control/configuration_codec.cpp
@@ -78,6 +78,7 @@
 std::vector<std::string> texts_of(const std::vector<Id>& ids)
 {
     std::vector<std::string> texts;
+    texts.reserve(ids.size());
     for (const Id& id : ids) {
         texts.push_back(id.str());
     }
--- a/curranthoist/entry/filters/filter_chain.cpp
+++ b/curranthoist/entry/filters/filter_chain.cpp
@@ -59,7 +59,7 @@
         found.add("Request-Id", "is required for an order");
         return {};
     }
-    const std::string id = given.value_or(state.new_request_id);
+    std::string id = given.value_or(state.new_request_id);
     if (!is_request_id(id)) {
         found.add("Request-Id", "must be 1 to 128 printable characters");
     }
--- a/curranthoist/testing/capacity/fleet_model.cpp
+++ b/curranthoist/testing/capacity/fleet_model.cpp
@@ -80,6 +80,9 @@
 void fleet_model::declare(const fleet_size& size)
 {
     using control::encoded::intent_kind;
+    if (size.zones == 0) {
+        throw std::invalid_argument("a fleet needs a zone");
+    }
     const auto submit = [this](control::encoded::intent_message value) {
         control::encoded::operator_intent_message command;
         command.intent_id = "intent-" + std::to_string(next_intent_++);
--- a/curranthoist/testing/proof/order_proof_test.cpp
+++ b/curranthoist/testing/proof/order_proof_test.cpp
@@ -162,7 +162,12 @@
         const unsigned times = found == ran.end() ? 0 : found->second;
         if (outcome == "cut" || outcome == "none" ||
             times != (outcome == "ran" ? 1U : 0U)) {
-            wrong.push_back(id + ": " + outcome + ", " + std::to_string(times) + " runs");
+            std::string text = id;
+            text.append(": ")
+                .append(outcome)
+                .append(", runs: ")
+                .append(std::to_string(times));
+            wrong.push_back(std::move(text));
         }
     }
     EXPECT_THAT(wrong, ::testing::IsEmpty());
