--- a/cmake/curranthoist_targets.cmake
+++ b/cmake/curranthoist_targets.cmake
@@ -2,7 +2,14 @@
 
 add_library(curranthoist_flags INTERFACE)
 target_compile_options(curranthoist_flags INTERFACE
-    -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror)
+    -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor)
+if(NOT CURRANTHOIST_PROGRAMS_ONLY)
+    # Another compiler may warn of more; that must not stop the build of the programs.
+    target_compile_options(curranthoist_flags INTERFACE -Werror)
+endif()
+# The programs' own version, for their command lines.
+target_compile_definitions(curranthoist_flags INTERFACE
+    CURRANTHOIST_VERSION="${PROJECT_VERSION}")
 if(CURRANTHOIST_SANITIZE)
     # At -O2 -g a source takes about twice the processor time; -g1 still names the line of
     # every frame in a report.
@@ -40,6 +47,9 @@
 
 # curranthoist_test(name SOURCES a_test.cpp DEPS curranthoist_base ...)
 function(curranthoist_test name)
+    if(CURRANTHOIST_PROGRAMS_ONLY)
+        return()
+    endif()
     cmake_parse_arguments(arg "" "TIMEOUT" "SOURCES;DEPS" ${ARGN})
     add_executable(${name} ${arg_SOURCES})
     target_link_libraries(${name} PRIVATE ${arg_DEPS} curranthoist_flags GTest::gtest_main GTest::gmock)
--- a/curranthoist/admission/cold_detector.hpp
+++ b/curranthoist/admission/cold_detector.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "curranthoist/admission/call_result.hpp"
-#include "curranthoist/admission/latency_window.hpp"
 #include "curranthoist/base/instant.hpp"
+#include "curranthoist/base/latency_window.hpp"
 
 #include <array>
 #include <cstddef>
@@ -59,8 +59,8 @@
     std::array<base::instant, sheds_in_burst> sheds_{};
     std::size_t shed_count_ = 0;
     int slow_count_ = 0;
-    latency_window warm_times_;
-    latency_window all_times_;
+    base::latency_window warm_times_;
+    base::latency_window all_times_;
 };
 
 } // namespace curranthoist::admission
--- a/curranthoist/admission/target_admission.hpp
+++ b/curranthoist/admission/target_admission.hpp
@@ -179,7 +179,7 @@
     std::multiset<base::instant> kept_slots_;
     connection_ledger ledger_;
     cold_detector detector_;
-    latency_window recent_;
+    base::latency_window recent_;
     base::instant last_response_;
     // Calls without any response since the last response.
     int failures_ = 0;
--- a/curranthoist/routing/latency_tracker.cpp
+++ b/curranthoist/base/latency_tracker.cpp
@@ -1,6 +1,6 @@
-#include "curranthoist/routing/latency_tracker.hpp"
+#include "curranthoist/base/latency_tracker.hpp"
 
-namespace curranthoist::routing {
+namespace curranthoist::base {
 
 void latency_tracker::add(base::duration latency)
 {
@@ -12,4 +12,4 @@
     }
 }
 
-} // namespace curranthoist::routing
+} // namespace curranthoist::base
--- a/curranthoist/routing/latency_tracker.hpp
+++ b/curranthoist/base/latency_tracker.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "curranthoist/admission/latency_window.hpp"
 #include "curranthoist/base/instant.hpp"
+#include "curranthoist/base/latency_window.hpp"
 
-namespace curranthoist::routing {
+namespace curranthoist::base {
 
 // A service's recent part latencies, from send to reply, as the coordinator saw them. A
 // part that a faster attempt beat counts with its age at that moment.
@@ -21,9 +21,9 @@
     [[nodiscard]] base::duration p95() const { return p95_; }
 
 private:
-    admission::latency_window window_;
+    latency_window window_;
     base::duration p95_ = without_history;
     int since_update_ = 0;
 };
 
-} // namespace curranthoist::routing
+} // namespace curranthoist::base
--- a/curranthoist/admission/latency_window.cpp
+++ b/curranthoist/base/latency_window.cpp
@@ -1,8 +1,8 @@
-#include "curranthoist/admission/latency_window.hpp"
+#include "curranthoist/base/latency_window.hpp"
 
 #include <algorithm>
 
-namespace curranthoist::admission {
+namespace curranthoist::base {
 
 void latency_window::add(base::duration sample)
 {
@@ -32,4 +32,4 @@
     next_ = 0;
 }
 
-} // namespace curranthoist::admission
+} // namespace curranthoist::base
--- a/curranthoist/admission/latency_window.hpp
+++ b/curranthoist/base/latency_window.hpp
@@ -6,7 +6,7 @@
 #include <cstddef>
 #include <optional>
 
-namespace curranthoist::admission {
+namespace curranthoist::base {
 
 // The most recent durations of one kind and their quantiles. Use it where a recent
 // percentile steers a decision; the window follows a change of speed within 128 samples:
@@ -31,4 +31,4 @@
     std::size_t next_ = 0;
 };
 
-} // namespace curranthoist::admission
+} // namespace curranthoist::base
--- a/curranthoist/base/logger.hpp
+++ b/curranthoist/base/logger.hpp
@@ -32,4 +32,10 @@
 // Returns false if the level's name is unknown; nothing changes then.
 bool configure_logging(std::string_view level);
 
+// The same for programs whose lines machines read: each line is
+// `time=<ISO 8601> level=<level> part=<part> <sentence>` on standard output, and the
+// sentence is a list of key=value pairs that begins with `event`. Writing never blocks;
+// see bounded_output.
+bool configure_structured_logging(std::string_view level);
+
 } // namespace curranthoist::base
--- a/curranthoist/consensus/internal/replica_log.hpp
+++ b/curranthoist/consensus/internal/replica_log.hpp
@@ -244,7 +244,11 @@
     result.membership_index = memberships_.latest_index();
     if (is_leader()) {
         for (const member& one : members().members()) {
-            result.progress.push_back({one.id, match_of(one.id)});
+            const auto known = progress_.find(one.id);
+            result.progress.push_back({one.id, match_of(one.id),
+                                       known == progress_.end()
+                                           ? base::instant::max()
+                                           : known->second.last_heard()});
         }
         result.repair = repair_;
     }
--- a/curranthoist/consensus/replica_status.hpp
+++ b/curranthoist/consensus/replica_status.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "curranthoist/base/instant.hpp"
 #include "curranthoist/consensus/membership.hpp"
 
 #include <cstdint>
@@ -26,11 +27,13 @@
     bool finished = false;
 };
 
-// How far the leader knows one member's log to be synced.
+// How far the leader knows one member's log to be synced, and when it last heard from it.
 struct member_progress
 {
     base::member_id id;
     base::log_index match_index;
+    // Of the clock that drives the replica; instant::max() for the leader itself.
+    base::instant last_heard = base::instant::max();
 };
 
 // A replica's state for operators.
--- /dev/null
+++ b/curranthoist/cored/core_process.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "curranthoist/consensus/replica_host.hpp"
+#include "curranthoist/cored/front_sessions.hpp"
+#include "curranthoist/cored/join_client.hpp"
+#include "curranthoist/cored/membership_keeper.hpp"
+#include "curranthoist/cored/target_list_reader.hpp"
+#include "curranthoist/deployment/deployment_state.hpp"
+#include "curranthoist/http/caller_server.hpp"
+#include "curranthoist/platform/node_settings.hpp"
+#include "curranthoist/platform/operator_call.hpp"
+#include "curranthoist/storage/log_store.hpp"
+#include "curranthoist/storage/posix_disk.hpp"
+
+#include <ev++.h>
+
+#include <memory>
+#include <string>
+
+namespace curranthoist::cored {
+
+// One member of the core: the replicated log with the operators' state, their HTTP
+// server, the sessions of the front processes and, on the leader, the reader of the
+// platform's list. All of it runs on one loop.
+//
+// It finds its place by itself: with an empty data folder it founds the log if the
+// deployment starts for the first time and it is one of the seeds, and otherwise asks the
+// members to take it in under a new identity.
+class core_process
+{
+public:
+    // Throws base::findings_error if settings that it needs are missing, and
+    // std::system_error if an address can't be bound.
+    core_process(ev::loop_ref loop, platform::node_settings settings);
+    core_process(const core_process&) = delete;
+    core_process& operator=(const core_process&) = delete;
+
+    // Begins a graceful stop: hands leadership over if it has it, and ends the loop.
+    void stop();
+    // Takes over settings that may change while it runs: the seeds.
+    void reload(const platform::node_settings& settings);
+
+private:
+    using host_type = consensus::replica_host<deployment::deployment_state>;
+
+    static storage::posix_disk& prepare(storage::posix_disk& disk,
+                                        const platform::node_settings& settings);
+    [[nodiscard]] consensus::host_options host_options() const;
+    [[nodiscard]] base::endpoint own_peers() const;
+    [[nodiscard]] front_sessions::core_view view() const;
+    // Where operators reach the member at this peer address.
+    [[nodiscard]] base::endpoint operators_of(const base::endpoint& peers) const;
+
+    void on_leadership(bool leads);
+    void on_tick(ev::timer& watcher, int events);
+    void on_stop_timer(ev::timer& watcher, int events);
+    void join_if_needed(base::instant now);
+
+    void on_request(http::caller_request request, const http::responder& answer);
+    void replace_configuration(http::caller_request request,
+                               const http::responder& answer);
+    void read_configuration(const std::string& path, const http::responder& answer);
+    void change_evacuation(const platform::evacuation_call& call, const std::string& path,
+                           const http::responder& answer);
+    void on_join(const http::caller_request& request, const http::responder& answer);
+    // Sends the request to the leader, or answers 503 if none is known.
+    void redirect(const std::string& path, const http::responder& answer);
+    void propose(std::vector<std::uint8_t> command, const std::string& what,
+                 const http::responder& answer);
+
+    ev::loop_ref loop_;
+    platform::node_settings settings_;
+    base::logger log_{"core"};
+    base::monotonic_clock clock_;
+    storage::posix_disk disk_;
+    storage::log_store<storage::posix_disk> store_;
+    deployment::deployment_state state_;
+    front_sessions sessions_;
+    host_type host_;
+    membership_keeper keeper_;
+    std::unique_ptr<join_client> joiner_;
+    std::unique_ptr<target_list_reader> reader_;
+    std::unique_ptr<http::caller_server> server_;
+    ev::timer tick_;
+    ev::timer stop_timer_;
+    base::instant stop_until_;
+    // Since when this process has neither been a voter with a leader nor led.
+    base::instant without_place_since_ = base::instant::max();
+};
+
+} // namespace curranthoist::cored
--- /dev/null
+++ b/curranthoist/cored/front_sessions.cpp
@@ -0,0 +1,180 @@
+#include "curranthoist/cored/front_sessions.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace curranthoist::cored {
+
+namespace {
+
+bool same_targets(const std::vector<deployment::listed_target>& a,
+                  const std::vector<deployment::listed_target>& b)
+{
+    return std::equal(
+        a.begin(), a.end(), b.begin(), b.end(), [](const auto& one, const auto& other) {
+            const bool newly_cold =
+                other.cold_for > one.cold_for || (one.cold_for == base::duration()) !=
+                                                     (other.cold_for == base::duration());
+            return one.same_run(other) && !newly_cold;
+        });
+}
+
+} // namespace
+
+void front_sessions::on_session(std::unique_ptr<consensus::peer_session> session,
+                                const wire::hello& hello)
+{
+    const std::uint64_t number = ++last_session_;
+    session->set_handlers(
+        [this, number](const wire::envelope& message) { on_message(number, message); },
+        [this, number](const std::string& reason) {
+            const auto found = sessions_.find(number);
+            if (found != sessions_.end()) {
+                log_.info("event=session_closed vm=" + found->second.name + " reason=\"" +
+                          reason + "\"");
+                sessions_.erase(found);
+            }
+        });
+    front_session& added = sessions_[number];
+    added.session = std::move(session);
+    added.name = hello.id()->str();
+    added.last_report = clock_.now();
+    log_.info("event=session_opened vm=" + added.name);
+}
+
+void front_sessions::on_message(std::uint64_t number, const wire::envelope& message)
+{
+    const auto found = sessions_.find(number);
+    if (found == sessions_.end()) {
+        return;
+    }
+    if (const wire::front_report* report = message.body_as_front_report()) {
+        on_report(found->second, *report);
+        return;
+    }
+    log_.warn("event=session_closed vm=" + found->second.name +
+              " reason=\"unexpected message\"");
+    sessions_.erase(found);
+}
+
+void front_sessions::on_report(front_session& from, const wire::front_report& report)
+{
+    const base::instant now = clock_.now();
+    const core_view view = view_();
+    from.last_report = now;
+    from.state_index = std::max(from.state_index, report.state_index());
+    // A restarted front reports index 0 on a session of its own.
+    const bool lacks_state = report.state_index() < state_.changed_at().value();
+    if (lacks_state &&
+        (view.leader || !from.reported || now - changed_ >= follower_delay)) {
+        send_state(from);
+    }
+    from.reported = true;
+    if (listing_ && (report.listing_term() != listing_->term ||
+                     report.listing_sequence() != listing_->sequence)) {
+        from.session->send_frame(listing_frame());
+    }
+    wire::core_report_message answer;
+    answer.sequence = report.sequence();
+    answer.leader = view.leader;
+    answer.fronts = static_cast<std::uint32_t>(live_fronts());
+    answer.members = view.members;
+    from.session->send(std::move(answer));
+}
+
+void front_sessions::send_state(front_session& to)
+{
+    to.session->send(state_.message());
+    to.state_index = state_.changed_at().value();
+}
+
+void front_sessions::on_state_change()
+{
+    changed_ = clock_.now();
+    if (!view_().leader) {
+        return;
+    }
+    const auto frame = wire::encode_frame(state_.message());
+    for (auto& [number, one] : sessions_) {
+        one.session->send_frame(frame);
+    }
+}
+
+std::vector<std::uint8_t> front_sessions::listing_frame() const
+{
+    wire::target_listing_message message;
+    message.term = listing_->term;
+    message.sequence = listing_->sequence;
+    message.age_ms =
+        static_cast<std::uint64_t>((clock_.now() - listing_->read_at).count());
+    for (const deployment::listed_target& one : listing_->targets) {
+        auto entry = std::make_unique<wire::listed_target_message>();
+        entry->id = one.id.str();
+        entry->service = one.service.str();
+        entry->zone = one.zone.str();
+        entry->address = one.address.str();
+        entry->draining = one.draining;
+        entry->cold_ms = static_cast<std::uint64_t>(one.cold_for.count());
+        message.targets.push_back(std::move(entry));
+    }
+    return wire::encode_frame(std::move(message));
+}
+
+void front_sessions::on_listing(std::uint64_t term,
+                                std::vector<deployment::listed_target> targets,
+                                base::instant read_at)
+{
+    std::sort(targets.begin(), targets.end(),
+              [](const auto& a, const auto& b) { return a.id < b.id; });
+    std::vector<std::uint8_t> frame;
+    const bool same =
+        listing_ && listing_->term == term && same_targets(listing_->targets, targets);
+    if (same) {
+        listing_->read_at = read_at;
+        wire::target_listing_check_message check;
+        check.term = term;
+        check.sequence = listing_->sequence;
+        check.age_ms = static_cast<std::uint64_t>((clock_.now() - read_at).count());
+        frame = wire::encode_frame(check);
+        // A target whose warm-up runs down keeps its end, not its remaining time.
+        listing_->targets = std::move(targets);
+    }
+    else {
+        log_.info("event=listing_changed term=" + std::to_string(term) +
+                  " sequence=" + std::to_string(last_sequence_ + 1) +
+                  " targets=" + std::to_string(targets.size()));
+        listing_ = listing{term, ++last_sequence_, read_at, std::move(targets)};
+        frame = listing_frame();
+    }
+    for (auto& [number, one] : sessions_) {
+        one.session->send_frame(frame);
+    }
+}
+
+std::size_t front_sessions::live_fronts() const
+{
+    std::set<std::string_view> names;
+    const base::instant now = clock_.now();
+    for (const auto& [number, one] : sessions_) {
+        if (now - one.last_report < report_limit) {
+            names.insert(one.name);
+        }
+    }
+    return names.size();
+}
+
+void front_sessions::close_silent()
+{
+    const base::instant now = clock_.now();
+    std::erase_if(sessions_, [&](const auto& one) {
+        const bool silent = now - one.second.last_report > report_limit * 2;
+        if (silent) {
+            log_.info("event=session_closed vm=" + one.second.name +
+                      " reason=\"no report\"");
+        }
+        return silent;
+    });
+}
+
+} // namespace curranthoist::cored
--- /dev/null
+++ b/curranthoist/cored/front_sessions.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "curranthoist/base/logger.hpp"
+#include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/consensus/peer_session.hpp"
+#include "curranthoist/deployment/deployment_state.hpp"
+#include "curranthoist/deployment/listed_target.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace curranthoist::cored {
+
+// The sessions of the front processes with one core process. Each front keeps a session
+// with every member and takes the newest state from any of them: the leader sends at
+// once, the others only to a front that still lacks it at a later report.
+class front_sessions
+{
+public:
+    // What the process says of itself in each answer to a report.
+    struct core_view
+    {
+        bool leader = false;
+        std::uint64_t term = 0;
+        std::vector<std::string> members;
+    };
+    using view_source = std::function<core_view()>;
+
+    // A front without a report for this time is not counted; a session without one is
+    // closed after twice that.
+    static constexpr base::duration report_limit{2000};
+    // A member that does not lead sends a state that is at least this old, in case the
+    // leader can't reach the front.
+    static constexpr base::duration follower_delay{250};
+
+    // The state must outlive it.
+    front_sessions(const deployment::deployment_state& state, view_source view)
+        : state_(state)
+        , view_(std::move(view))
+    {}
+
+    void on_session(std::unique_ptr<consensus::peer_session> session,
+                    const wire::hello& hello);
+    // The replicated state has changed.
+    void on_state_change();
+    // A reading of the platform's list by this process, which leads in `term`.
+    void on_listing(std::uint64_t term, std::vector<deployment::listed_target> targets,
+                    base::instant read_at);
+    // This process no longer leads; its last reading is dropped.
+    void drop_listing() { listing_.reset(); }
+    // Closes silent sessions; call it now and then.
+    void close_silent();
+
+    [[nodiscard]] std::size_t size() const { return sessions_.size(); }
+
+private:
+    struct front_session
+    {
+        std::unique_ptr<consensus::peer_session> session;
+        std::string name;
+        base::instant last_report;
+        std::uint64_t state_index = 0;
+        bool reported = false;
+    };
+    struct listing
+    {
+        std::uint64_t term = 0;
+        std::uint64_t sequence = 0;
+        base::instant read_at;
+        std::vector<deployment::listed_target> targets;
+    };
+
+    void on_message(std::uint64_t number, const wire::envelope& message);
+    void on_report(front_session& from, const wire::front_report& report);
+    void send_state(front_session& to);
+    [[nodiscard]] std::vector<std::uint8_t> listing_frame() const;
+    [[nodiscard]] std::size_t live_fronts() const;
+
+    const deployment::deployment_state& state_;
+    view_source view_;
+    base::monotonic_clock clock_;
+    base::logger log_{"sessions"};
+    std::map<std::uint64_t, front_session> sessions_;
+    std::uint64_t last_session_ = 0;
+    base::instant changed_;
+    std::optional<listing> listing_;
+    std::uint64_t last_sequence_ = 0;
+};
+
+} // namespace curranthoist::cored
--- /dev/null
+++ b/curranthoist/cored/join_client.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "curranthoist/base/endpoint.hpp"
+#include "curranthoist/base/identifiers.hpp"
+#include "curranthoist/base/logger.hpp"
+#include "curranthoist/http/target_client.hpp"
+
+#include <ev++.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace curranthoist::cored {
+
+// Asks the core's members to take this process in, one address after the other, until the
+// leader has done so. An answer that names the leader leads there next.
+class join_client
+{
+public:
+    // `id` and `peers` are this process's identity and where other members reach it.
+    join_client(ev::loop_ref loop, base::member_id id, base::endpoint peers);
+    join_client(const join_client&) = delete;
+    join_client& operator=(const join_client&) = delete;
+
+    // Asks every address once; an address is the one where operators reach a member.
+    void ask(const std::set<base::endpoint>& addresses);
+
+    // The path and body of the request, for the server's side.
+    static constexpr const char* path = "/members/join";
+    struct application
+    {
+        base::member_id id;
+        base::endpoint address;
+    };
+    // Nothing if the body is not an application.
+    static std::optional<application> decode(const std::string& body);
+
+private:
+    void on_result(const http::target_result& result);
+
+    ev::loop_ref loop_;
+    base::logger log_{"members"};
+    std::string body_;
+    std::map<base::endpoint, std::unique_ptr<http::target_client>> clients_;
+    // Where the last answers said that the leader is.
+    std::set<base::endpoint> leaders_;
+};
+
+} // namespace curranthoist::cored
--- /dev/null
+++ b/curranthoist/deployment/deployment_state.cpp
@@ -0,0 +1,121 @@
+#include "curranthoist/deployment/deployment_state.hpp"
+
+#include "curranthoist/base/findings_error.hpp"
+#include "curranthoist/base/logger.hpp"
+
+#include <utility>
+
+namespace curranthoist::deployment {
+
+namespace {
+
+// Commands and snapshots are frames of the wire protocol, verified before use.
+const wire::envelope* read_frame(std::span<const std::uint8_t> frame)
+{
+    return frame.size() <= wire::frame_prefix_bytes
+               ? nullptr
+               : wire::verified_envelope(frame.subspan(wire::frame_prefix_bytes));
+}
+
+std::string text_of(const flatbuffers::Vector<std::uint8_t>* bytes)
+{
+    return bytes == nullptr ? std::string() : std::string(bytes->begin(), bytes->end());
+}
+
+} // namespace
+
+std::vector<std::uint8_t>
+deployment_state::replace_configuration(std::uint64_t version, std::string_view document)
+{
+    wire::deployment_command_message command;
+    command.order = wire::deployment_order::replace_configuration;
+    command.version = version;
+    command.document.assign(document.begin(), document.end());
+    return wire::encode_frame(std::move(command));
+}
+
+std::vector<std::uint8_t> deployment_state::change_evacuation(const base::zone_id& zone,
+                                                              bool start)
+{
+    wire::deployment_command_message command;
+    command.order = start ? wire::deployment_order::start_evacuation
+                          : wire::deployment_order::end_evacuation;
+    command.zone = zone.str();
+    return wire::encode_frame(std::move(command));
+}
+
+void deployment_state::apply(base::log_index index, std::span<const std::uint8_t> bytes)
+{
+    const wire::envelope* frame = read_frame(bytes);
+    const wire::deployment_command* command =
+        frame == nullptr ? nullptr : frame->body_as_deployment_command();
+    if (command == nullptr) {
+        base::logger("deployment")
+            .error("event=command_unreadable index=" + std::to_string(index.value()));
+        return;
+    }
+    if (command->order() == wire::deployment_order::replace_configuration) {
+        if (command->version() <= version_) {
+            return;
+        }
+        version_ = command->version();
+        document_ = text_of(command->document());
+    }
+    else {
+        const base::zone_id zone(command->zone() == nullptr ? ""
+                                                            : command->zone()->str());
+        if (command->order() == wire::deployment_order::start_evacuation) {
+            evacuated_.insert(zone);
+        }
+        else {
+            evacuated_.erase(zone);
+        }
+    }
+    changed_at_ = index;
+    if (on_change_) {
+        on_change_();
+    }
+}
+
+wire::deployment_snapshot_message deployment_state::message() const
+{
+    wire::deployment_snapshot_message result;
+    result.index = changed_at_.value();
+    result.version = version_;
+    result.document.assign(document_.begin(), document_.end());
+    for (const base::zone_id& zone : evacuated_) {
+        result.evacuated_zones.push_back(zone.str());
+    }
+    return result;
+}
+
+std::vector<std::uint8_t> deployment_state::snapshot() const
+{
+    return wire::encode_frame(message());
+}
+
+void deployment_state::restore(std::span<const std::uint8_t> bytes)
+{
+    const wire::envelope* frame = read_frame(bytes);
+    const wire::deployment_snapshot* from =
+        frame == nullptr ? nullptr : frame->body_as_deployment_snapshot();
+    if (from == nullptr) {
+        base::findings found;
+        found.add("log snapshot", "holds no deployment state");
+        throw base::findings_error(found);
+    }
+    changed_at_ = base::log_index(from->index());
+    version_ = from->version();
+    document_ = text_of(from->document());
+    evacuated_.clear();
+    if (from->evacuated_zones() != nullptr) {
+        for (const auto* zone : *from->evacuated_zones()) {
+            evacuated_.insert(base::zone_id(zone->str()));
+        }
+    }
+    if (on_change_) {
+        on_change_();
+    }
+}
+
+} // namespace curranthoist::deployment
--- /dev/null
+++ b/curranthoist/forwarding/request_run_test.cpp
@@ -0,0 +1,243 @@
+#include "curranthoist/forwarding/extra_send_budget.hpp"
+#include "curranthoist/forwarding/request_run.hpp"
+#include "curranthoist/forwarding/target_directory.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+
+namespace curranthoist::forwarding {
+namespace {
+
+using base::duration;
+using base::instant;
+using deployment::repeat_rule;
+
+// One request over `shards` services with two targets each, driven by hand.
+class request_run_test : public ::testing::Test
+{
+protected:
+    void begin(std::size_t shards, repeat_rule repeat, double least_share = 0.89)
+    {
+        route_.repeat = repeat;
+        route_.max_attempts = 2;
+        route_.least_share = least_share;
+        std::vector<base::service_id> services;
+        std::vector<deployment::listed_target> targets;
+        for (std::size_t i = 0; i < shards; ++i) {
+            const std::string name = "s" + std::to_string(i);
+            services.emplace_back(name);
+            for (const char* const copy : {"-a", "-b"}) {
+                targets.push_back({base::target_id(name + copy),
+                                   base::service_id(name),
+                                   base::zone_id("z"),
+                                   {"10.0.0.1", 80},
+                                   false,
+                                   {}});
+            }
+        }
+        if (shards > 1) {
+            route_.shards = services;
+        }
+        directory_.replace_listing(targets, now_);
+        run_.emplace(
+            route_, services,
+            run_times{now_, now_ + duration(100), now_ + duration(800), duration(30)},
+            directory_, budget_);
+        take(run_->start(now_));
+    }
+    void take(const std::vector<run_action>& actions)
+    {
+        for (const run_action& action : actions) {
+            if (const auto* sent = std::get_if<send_action>(&action)) {
+                sends_.push_back(*sent);
+            }
+            else if (const auto* ended = std::get_if<cancel_action>(&action)) {
+                cancelled_.push_back(ended->call);
+            }
+            else {
+                EXPECT_FALSE(end_) << "a request ends once";
+                end_ = std::get<finish_action>(action);
+            }
+        }
+    }
+    void answer(call_id call, answer_kind kind)
+    {
+        take(run_->on_answer(call, kind, now_));
+    }
+    void advance(std::int64_t milliseconds)
+    {
+        now_ = now_ + duration(milliseconds);
+        take(run_->on_time(now_));
+    }
+
+    instant now_{1'000'000};
+    deployment::route route_;
+    target_directory directory_{{base::zone_id("z"), duration(800)}};
+    extra_send_budget budget_{{0.2, 100.0, duration(10'000)}};
+    std::optional<request_run> run_;
+    std::vector<send_action> sends_;
+    std::vector<call_id> cancelled_;
+    std::optional<finish_action> end_;
+};
+
+// Guards against a request that runs twice although it may run once only.
+TEST_F(request_run_test, an_at_most_once_request_is_not_sent_again_when_it_may_have_run)
+{
+    begin(1, repeat_rule::at_most_once);
+    answer(1, answer_kind::unknown);
+    EXPECT_EQ(sends_.size(), 1U);
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(end_->outcome, run_outcome::failed);
+}
+
+// Guards against a hedge of a request that may run once only.
+TEST_F(request_run_test, an_at_most_once_request_is_never_hedged)
+{
+    begin(1, repeat_rule::at_most_once);
+    advance(700);
+    EXPECT_EQ(sends_.size(), 1U);
+    EXPECT_EQ(run_->next_deadline(), instant(1'000'800));
+    advance(100);
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(end_->outcome, run_outcome::timed_out);
+}
+
+// Guards against a refusal that gives up although another target could run the request.
+TEST_F(request_run_test, a_request_that_certainly_did_not_run_goes_to_another_target)
+{
+    begin(1, repeat_rule::at_most_once);
+    answer(1, answer_kind::not_run);
+    ASSERT_EQ(sends_.size(), 2U);
+    EXPECT_NE(sends_[0].target, sends_[1].target);
+    answer(2, answer_kind::not_run);
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(end_->outcome, run_outcome::refused);
+}
+
+// Guards against a promise 'not run' for a request whose first send may have run.
+TEST_F(request_run_test, a_refusal_is_said_only_if_no_send_may_have_run)
+{
+    begin(1, repeat_rule::repeatable);
+    answer(1, answer_kind::unknown);
+    ASSERT_EQ(sends_.size(), 2U);
+    answer(2, answer_kind::not_run);
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(end_->outcome, run_outcome::failed);
+}
+
+// Guards against more sends of one attempt than the route allows.
+TEST_F(request_run_test, sends_stay_within_the_routes_attempts)
+{
+    begin(1, repeat_rule::repeatable);
+    answer(1, answer_kind::failure);
+    answer(2, answer_kind::failure);
+    EXPECT_EQ(sends_.size(), 2U);
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(end_->outcome, run_outcome::target_failure);
+    EXPECT_EQ(end_->answers, std::vector<call_id>{2});
+}
+
+// Guards against a query that waits for a target in a pause.
+TEST_F(request_run_test, a_late_part_is_asked_of_another_target_and_the_loser_cancelled)
+{
+    begin(20, repeat_rule::repeatable);
+    ASSERT_EQ(sends_.size(), 20U);
+    for (call_id call = 2; call <= 20; ++call) {
+        answer(call, answer_kind::success);
+    }
+    EXPECT_EQ(run_->next_deadline(), instant(1'000'030));
+    advance(30);
+    ASSERT_EQ(sends_.size(), 21U);
+    EXPECT_EQ(sends_[20].shard, 0U);
+    EXPECT_NE(sends_[20].target, sends_[0].target);
+    answer(21, answer_kind::success);
+    EXPECT_EQ(cancelled_, std::vector<call_id>{1});
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(end_->outcome, run_outcome::complete);
+    EXPECT_EQ(end_->answers.size(), 20U);
+    EXPECT_EQ(end_->missing, 0U);
+}
+
+// Guards against a whole response that comes late although most of it was there in time,
+// and against a partial one without need.
+TEST_F(request_run_test, a_partial_response_leaves_at_the_soft_limit)
+{
+    begin(20, repeat_rule::repeatable);
+    for (call_id call = 3; call <= 20; ++call) {
+        answer(call, answer_kind::success);
+    }
+    EXPECT_FALSE(end_);
+    advance(100);
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(end_->outcome, run_outcome::partial);
+    EXPECT_EQ(end_->missing, 2U);
+}
+
+// Guards against a response with fewer shards than the route demands.
+TEST_F(request_run_test, too_few_shards_are_never_a_response)
+{
+    begin(20, repeat_rule::repeatable);
+    for (call_id call = 4; call <= 20; ++call) {
+        answer(call, answer_kind::success);
+    }
+    advance(100);
+    EXPECT_FALSE(end_);
+    advance(700);
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(end_->outcome, run_outcome::timed_out);
+}
+
+// Guards against a query that is held although it can't get enough shards any more.
+TEST_F(request_run_test, a_query_without_enough_shards_left_ends_at_once)
+{
+    begin(20, repeat_rule::repeatable);
+    for (call_id call = 1; call <= 3; ++call) {
+        answer(call, answer_kind::failure);
+    }
+    const std::vector<send_action> again(sends_.begin() + 20, sends_.end());
+    ASSERT_EQ(again.size(), 3U);
+    for (const send_action& one : again) {
+        answer(one.call, answer_kind::failure);
+    }
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(end_->outcome, run_outcome::failed);
+    EXPECT_EQ(cancelled_.size(), 17U);
+}
+
+// Guards against a share that rounding turns from 19 of 20 into 20.
+TEST_F(request_run_test, the_least_share_counts_whole_shards)
+{
+    begin(20, repeat_rule::repeatable, 0.95);
+    for (call_id call = 2; call <= 20; ++call) {
+        answer(call, answer_kind::success);
+    }
+    advance(100);
+    ASSERT_TRUE(end_);
+    EXPECT_EQ(end_->outcome, run_outcome::partial);
+}
+
+// Guards against targets that go on working for a caller who has left.
+TEST_F(request_run_test, a_caller_who_leaves_ends_every_open_call)
+{
+    begin(3, repeat_rule::repeatable);
+    answer(1, answer_kind::success);
+    take(run_->abandon());
+    EXPECT_EQ(cancelled_, (std::vector<call_id>{2, 3}));
+    EXPECT_FALSE(end_);
+    EXPECT_TRUE(run_->finished());
+}
+
+// Guards against a loop that spins while there is no budget for a hedge that is due.
+TEST_F(request_run_test, a_hedge_without_budget_is_tried_again_later)
+{
+    budget_ = extra_send_budget({0.0, 0.0, duration(10'000)});
+    begin(1, repeat_rule::repeatable);
+    advance(30);
+    EXPECT_EQ(sends_.size(), 1U);
+    EXPECT_GT(run_->next_deadline(), now_);
+}
+
+} // namespace
+} // namespace curranthoist::forwarding
--- /dev/null
+++ b/curranthoist/forwarding/target_directory.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "curranthoist/base/instant.hpp"
+#include "curranthoist/deployment/listed_target.hpp"
+#include "curranthoist/forwarding/answer_kind.hpp"
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace curranthoist::forwarding {
+
+// One VM's view of the targets: which may be used now, and which of a service to use.
+//
+// The list says which targets exist, drain or are cold, and lags. What this VM sees of a
+// target only takes work away from it; a target that could not be reached returns after
+// its health endpoint has answered, because it may have restarted cold under its old id.
+class target_directory
+{
+public:
+    struct options
+    {
+        base::zone_id own_zone;
+        // How far the list may lag behind.
+        base::duration list_lag{1000};
+    };
+    // Why a service has no target to choose, for log lines.
+    struct shortage
+    {
+        std::size_t listed = 0;
+        std::size_t draining = 0;
+        std::size_t cold = 0;
+        std::size_t evacuated = 0;
+        std::size_t unreachable = 0;
+
+        [[nodiscard]] std::string text() const;
+    };
+
+    explicit target_directory(options from)
+        : options_(std::move(from))
+    {}
+
+    // Replaces the list by one whose reading began at `read_at`. Returns the targets that
+    // are no longer listed.
+    std::vector<base::target_id>
+    replace_listing(std::span<const deployment::listed_target> targets,
+                    base::instant read_at);
+    // A reading that began at `read_at` named the same targets.
+    void confirm_listing(base::instant read_at);
+    // The zones whose targets get nothing. The targets of a zone that returns are used
+    // once a later reading of the list tells whether they are cold.
+    void set_evacuated(std::set<base::zone_id> zones, base::instant now);
+
+    // The best target of a service that is not in `excluded`; null if there is none.
+    [[nodiscard]] const deployment::listed_target*
+    choose(const base::service_id& service, std::span<const base::target_id> excluded,
+           base::instant now) const;
+    [[nodiscard]] shortage explain(const base::service_id& service,
+                                   base::instant now) const;
+    [[nodiscard]] const deployment::listed_target* find(const base::target_id& id) const;
+    // Targets that the list names.
+    [[nodiscard]] std::size_t size() const { return targets_.size(); }
+    [[nodiscard]] bool has_listing() const { return has_listing_; }
+    [[nodiscard]] base::instant read_at() const { return read_at_; }
+
+    // A request was sent to the target, and how it ended. `expected` is the usual time of
+    // such a request and `took` what this one took.
+    void on_sent(const base::target_id& id, base::instant now);
+    void on_answer(const base::target_id& id, answer_kind kind, base::duration took,
+                   base::duration expected, base::instant now);
+
+    // Unreachable targets whose health is to be asked now; each is returned once per try.
+    std::vector<base::target_id> due_probes(base::instant now);
+    // A target's health endpoint answered as itself; it stays cold for `cold_for`.
+    void on_healthy(const base::target_id& id, base::duration cold_for,
+                    base::instant now);
+    // The earliest time at which due_probes() returns something; instant::max() if never.
+    [[nodiscard]] base::instant next_probe() const;
+
+private:
+    struct target_state
+    {
+        deployment::listed_target listed;
+        // The list was read after this time or says nothing about the target being cold.
+        base::instant trusted_after;
+        base::instant cold_until;
+        std::size_t outstanding = 0;
+        // The first send that no answer has followed; max() if there is none.
+        base::instant waiting_since = base::instant::max();
+        base::instant last_sent;
+        // Sends without an answer in a row that this VM gave up.
+        unsigned strikes = 0;
+        // Time of its answers relative to the usual time, smoothed.
+        double slowness = 1.0;
+        base::instant slowness_at;
+        bool unreachable = false;
+        base::instant probe_at;
+        base::duration probe_delay;
+    };
+
+    [[nodiscard]] bool is_usable(const target_state& target, base::instant now) const;
+    [[nodiscard]] double score(const target_state& target, base::instant now) const;
+    [[nodiscard]] static double slowness_of(const target_state& target,
+                                            base::instant now);
+    static void suspend(target_state& target, base::instant now);
+
+    options options_;
+    bool has_listing_ = false;
+    base::instant read_at_;
+    std::map<base::target_id, target_state> targets_;
+    std::map<base::service_id, std::vector<base::target_id>> services_;
+    std::set<base::zone_id> evacuated_;
+    // When each zone was last taken back after an evacuation.
+    std::map<base::zone_id, base::instant> returned_;
+};
+
+} // namespace curranthoist::forwarding
--- /dev/null
+++ b/curranthoist/forwarding/target_directory_test.cpp
@@ -0,0 +1,152 @@
+#include "curranthoist/forwarding/target_directory.hpp"
+
+#include <gtest/gtest.h>
+
+namespace curranthoist::forwarding {
+namespace {
+
+using base::duration;
+using base::instant;
+
+const base::service_id service("s");
+constexpr duration usual{20};
+
+deployment::listed_target target(const std::string& id, const std::string& zone = "near")
+{
+    return {base::target_id(id),
+            service,
+            base::zone_id(zone),
+            {"10.0.0.1", static_cast<std::uint16_t>(8000 + id.back())},
+            false,
+            {}};
+}
+
+class target_directory_test : public ::testing::Test
+{
+protected:
+    void list(const std::vector<deployment::listed_target>& targets)
+    {
+        directory_.replace_listing(targets, now_);
+    }
+    [[nodiscard]] std::string chosen(const std::string& excluded = "") const
+    {
+        const std::vector<base::target_id> used{base::target_id(excluded)};
+        const auto* found = directory_.choose(service, used, now_);
+        return found == nullptr ? "" : found->id.str();
+    }
+    void advance(std::int64_t milliseconds) { now_ = now_ + duration(milliseconds); }
+    void answered(const std::string& id, answer_kind kind, std::int64_t took = 20)
+    {
+        directory_.on_sent(base::target_id(id), now_);
+        advance(took);
+        directory_.on_answer(base::target_id(id), kind, duration(took), usual, now_);
+    }
+
+    instant now_{1'000'000};
+    target_directory directory_{{base::zone_id("near"), duration(800)}};
+};
+
+// Guards against requests to a target that is about to stop.
+TEST_F(target_directory_test, a_draining_target_gets_nothing)
+{
+    auto leaving = target("a");
+    leaving.draining = true;
+    list({leaving, target("b", "far")});
+    EXPECT_EQ(chosen(), "b");
+    EXPECT_EQ(directory_.explain(service, now_).draining, 1U);
+}
+
+// Guards against a flood onto a target that has just started.
+TEST_F(target_directory_test, a_cold_target_gets_nothing_until_it_is_warm)
+{
+    auto cold = target("a");
+    cold.cold_for = duration(2000);
+    list({cold});
+    EXPECT_EQ(chosen(), "");
+    advance(2500);
+    EXPECT_EQ(chosen(), "a");
+}
+
+// Guards against a later list without warm-up time that ends the wait too early.
+TEST_F(target_directory_test, a_later_list_does_not_shorten_the_warm_up)
+{
+    auto cold = target("a");
+    cold.cold_for = duration(2000);
+    list({cold});
+    list({target("a")});
+    EXPECT_EQ(chosen(), "");
+}
+
+// Guards against traffic to a zone under evacuation, and to its targets that came back
+// cold before the list says so.
+TEST_F(target_directory_test, a_zone_returns_once_a_later_list_was_read)
+{
+    list({target("a")});
+    directory_.set_evacuated({base::zone_id("near")}, now_);
+    EXPECT_EQ(chosen(), "");
+    directory_.set_evacuated({}, now_);
+    EXPECT_EQ(chosen(), "");
+    advance(700);
+    directory_.confirm_listing(now_);
+    EXPECT_EQ(chosen(), "");
+    advance(200);
+    directory_.confirm_listing(now_);
+    EXPECT_EQ(chosen(), "a");
+}
+
+// Guards against a crashed target that restarts cold under its old id and gets full load
+// because the list does not know yet.
+TEST_F(target_directory_test, an_unreachable_target_returns_after_its_health_answered)
+{
+    list({target("a")});
+    answered("a", answer_kind::unreachable);
+    EXPECT_EQ(chosen(), "");
+    EXPECT_TRUE(directory_.due_probes(now_).empty());
+    advance(400);
+    EXPECT_EQ(directory_.due_probes(now_).size(), 1U);
+    EXPECT_TRUE(directory_.due_probes(now_).empty());
+    directory_.on_healthy(base::target_id("a"), duration(1000), now_);
+    EXPECT_EQ(chosen(), "");
+    advance(1300);
+    EXPECT_EQ(chosen(), "a");
+}
+
+// Guards against requests that wait for a target in a pause while another one is idle.
+TEST_F(target_directory_test, a_target_that_pauses_is_avoided)
+{
+    list({target("a"), target("b", "far")});
+    EXPECT_EQ(chosen(), "a");
+    directory_.on_sent(base::target_id("a"), now_);
+    advance(50);
+    EXPECT_EQ(chosen(), "b");
+    directory_.on_answer(base::target_id("a"), answer_kind::success, duration(50), usual,
+                         now_);
+    answered("b", answer_kind::success);
+    EXPECT_EQ(chosen(), "a");
+}
+
+// Guards against a slow target that keeps half of the load, and against one that is
+// avoided for good.
+TEST_F(target_directory_test, a_slow_target_is_avoided_and_tried_again_later)
+{
+    list({target("a"), target("b", "far")});
+    for (int i = 0; i < 5; ++i) {
+        answered("a", answer_kind::success, 200);
+    }
+    EXPECT_EQ(chosen(), "b");
+    advance(20'000);
+    EXPECT_EQ(chosen(), "a");
+}
+
+// Guards against a restarted target that inherits what was known of the run before it.
+TEST_F(target_directory_test, targets_that_are_no_longer_listed_are_returned)
+{
+    list({target("a"), target("b")});
+    const std::vector<deployment::listed_target> next{target("b")};
+    const auto gone = directory_.replace_listing(next, now_);
+    EXPECT_EQ(gone, std::vector<base::target_id>{base::target_id("a")});
+    EXPECT_EQ(directory_.find(base::target_id("a")), nullptr);
+}
+
+} // namespace
+} // namespace curranthoist::forwarding
--- /dev/null
+++ b/curranthoist/frontd/caller_task.cpp
@@ -0,0 +1,289 @@
+#include "curranthoist/frontd/caller_task.hpp"
+
+#include "curranthoist/forwarding/record_merge.hpp"
+#include "curranthoist/frontd/task_context.hpp"
+#include "curranthoist/http/status.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace curranthoist::frontd {
+
+namespace {
+
+using namespace base::literals;
+
+// From this process's answer to the caller's receipt, and the time that a busy process
+// needs to get to the answer.
+constexpr base::duration answer_margin = 20_ms;
+// A partial response leaves this long before the objective: the way to the caller and
+// back, and the merge.
+constexpr base::duration soft_margin = 14_ms;
+// A caller whose request has not run comes back after this time; the fault that refused
+// it is seldom over sooner.
+constexpr base::duration retry_after = 50_ms;
+// A repeatable request is worth a log line for each send that is not the first.
+constexpr const char* first_send = "first";
+
+std::vector<base::service_id> services_of(const deployment::route& route,
+                                          base::random_source& random)
+{
+    if (route.gathers()) {
+        return route.shards;
+    }
+    double sum = 0;
+    for (const deployment::weighted_service& one : route.services) {
+        sum += one.weight;
+    }
+    double drawn = random.unit() * sum;
+    for (const deployment::weighted_service& one : route.services) {
+        if (drawn < one.weight) {
+            return {one.service};
+        }
+        drawn -= one.weight;
+    }
+    return {route.services.back().service};
+}
+
+} // namespace
+
+caller_task::caller_task(task_context& context,
+                         std::shared_ptr<const deployment::route_table> table,
+                         const deployment::route& route,
+                         platform::inbound_request request, http::responder answer)
+    : context_(context)
+    , table_(std::move(table))
+    , route_(route)
+    , request_(std::move(request))
+    , answer_(std::move(answer))
+    , arrived_(clock_.now())
+    , latency_(context.latencies[route.name])
+    , timer_(context.loop)
+{
+    const base::duration patience = request_.patience.value_or(route_.time_limit);
+    hard_limit_ = arrived_ + std::min(route_.time_limit, patience - answer_margin);
+    timer_.set<caller_task, &caller_task::on_timer>(this);
+}
+
+forwarding::run_times caller_task::times(base::instant now) const
+{
+    forwarding::run_times result;
+    result.arrived = now;
+    result.soft_limit = now + route_.objective - soft_margin;
+    result.hard_limit = hard_limit_;
+    result.hedge_after = latency_.hedge_after(route_.objective);
+    return result;
+}
+
+void caller_task::start(end_handler on_end)
+{
+    on_end_ = std::move(on_end);
+    answer_.on_close([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->on_caller_gone();
+        }
+    });
+    run_.emplace(route_, services_of(route_, context_.random), times(arrived_),
+                 context_.directory, context_.budget);
+    perform(run_->start(clock_.now()));
+}
+
+void caller_task::perform(const std::vector<forwarding::run_action>& actions)
+{
+    for (const forwarding::run_action& action : actions) {
+        if (const auto* wanted = std::get_if<forwarding::send_action>(&action)) {
+            send(*wanted);
+        }
+        else if (const auto* ended = std::get_if<forwarding::cancel_action>(&action)) {
+            cancel(*ended);
+        }
+        else {
+            finish(std::get<forwarding::finish_action>(action));
+        }
+    }
+    schedule();
+}
+
+void caller_task::send(const forwarding::send_action& action)
+{
+    const base::instant now = clock_.now();
+    const deployment::listed_target* target = context_.directory.find(action.target);
+    const auto& services = table_->source().services;
+    const auto limits = services.find(run_->service_of(action.shard));
+    const std::size_t connections =
+        limits == services.end() ? 1 : limits->second.max_connections;
+    target_send& sent = sends_[action.call];
+    sent.target = action.target;
+    sent.sent = now;
+    context_.directory.on_sent(action.target, now);
+    const base::duration left = std::max(hard_limit_ - now, 1_ms);
+    http::target_client& client = context_.pool.client(
+        action.target, target->address, context_.connection_share(connections));
+    sent.number = client.start(
+        platform::encode_target_call(request_, action.target, left),
+        [weak = weak_from_this(), call = action.call](http::target_result result) {
+            if (const auto self = weak.lock()) {
+                self->on_result(call, std::move(result));
+            }
+        });
+    if (action.reason != std::string_view(first_send)) {
+        (action.reason == std::string_view("hedge") ? hedges_ : retries_) += 1;
+        context_.log.info(
+            "event=sent id=" + request_.attempt.str() + " reason=" + action.reason +
+            " shard=" + std::to_string(action.shard) + " target=" + action.target.str() +
+            " age_ms=" + std::to_string((now - arrived_).count()));
+    }
+}
+
+void caller_task::cancel(const forwarding::cancel_action& action)
+{
+    const auto found = sends_.find(action.call);
+    if (found == sends_.end() || !found->second.open) {
+        return;
+    }
+    target_send& sent = found->second;
+    sent.open = false;
+    const base::instant now = clock_.now();
+    context_.directory.on_answer(sent.target, forwarding::answer_kind::cancelled,
+                                 now - sent.sent, latency_.mean(), now);
+    if (http::target_client* client = context_.pool.find(sent.target)) {
+        client->cancel(sent.number);
+    }
+}
+
+void caller_task::on_result(forwarding::call_id call, http::target_result result)
+{
+    target_send& sent = sends_.at(call);
+    if (!sent.open) {
+        return;
+    }
+    sent.open = false;
+    const base::instant now = clock_.now();
+    const base::duration took = now - sent.sent;
+    const http::call_outcome outcome = result.outcome;
+    const unsigned status = result.status;
+    sent.response = platform::decode_target_result(std::move(result));
+    const forwarding::answer_kind kind = sent.response->kind;
+    context_.directory.on_answer(sent.target, kind, took, latency_.mean(), now);
+    if (kind == forwarding::answer_kind::success) {
+        latency_.add(took);
+    }
+    else {
+        context_.log.info("event=answer_rejected id=" + request_.attempt.str() +
+                          " target=" + sent.target.str() +
+                          " kind=" + forwarding::answer_name(kind) + " outcome=\"" +
+                          std::string(http::outcome_text(outcome)) +
+                          "\" status=" + std::to_string(status) +
+                          " took_ms=" + std::to_string(took.count()));
+    }
+    perform(run_->on_answer(call, kind, now));
+}
+
+void caller_task::on_caller_gone()
+{
+    perform(run_->abandon());
+    end("caller_gone", 0, 0);
+}
+
+void caller_task::on_timer(ev::timer& /*watcher*/, int /*events*/)
+{
+    perform(run_->on_time(clock_.now()));
+}
+
+void caller_task::schedule()
+{
+    timer_.stop();
+    if (ended_ || run_->finished()) {
+        return;
+    }
+    const base::duration wait = run_->next_deadline() - clock_.now();
+    ev_now_update(context_.loop);
+    timer_.start(std::max(wait, 1_ms).seconds());
+}
+
+http::caller_response caller_task::gather(const forwarding::finish_action& action)
+{
+    std::vector<std::string_view> signatures;
+    std::vector<std::string_view> bodies;
+    for (const forwarding::call_id call : action.answers) {
+        const platform::target_response& part = *sends_.at(call).response;
+        signatures.push_back(part.signature);
+        bodies.push_back(part.content.body);
+    }
+    return platform::gathered_response(
+        signatures, action.missing,
+        forwarding::merge_records(bodies, route_.top_records));
+}
+
+void caller_task::finish(const forwarding::finish_action& action)
+{
+    using forwarding::run_outcome;
+    namespace status = http::status;
+    http::caller_response response;
+    switch (action.outcome) {
+    case run_outcome::complete:
+    case run_outcome::partial:
+        response =
+            route_.gathers()
+                ? gather(action)
+                : platform::forward_response(*sends_.at(action.answers.front()).response);
+        break;
+    case run_outcome::target_failure: {
+        const platform::target_response& from =
+            *sends_.at(action.answers.front()).response;
+        response = platform::may_forward_failure(from.content.status)
+                       ? platform::forward_response(from)
+                       : platform::own_response(status::bad_gateway, "the target failed",
+                                                std::nullopt);
+        break;
+    }
+    case run_outcome::refused:
+        response =
+            platform::own_response(status::service_unavailable,
+                                   "not run: no target can take it now", retry_after);
+        break;
+    case run_outcome::failed:
+        response = platform::own_response(
+            status::bad_gateway, "no whole response of a target came", std::nullopt);
+        break;
+    case run_outcome::timed_out:
+        response = platform::own_response(status::gateway_timeout,
+                                          "the time limit passed", std::nullopt);
+        break;
+    }
+    const unsigned code = response.status;
+    answer_.respond(std::move(response));
+    end(forwarding::outcome_name(action.outcome), code, action.missing);
+}
+
+void caller_task::end(const char* outcome, unsigned status, std::size_t missing)
+{
+    if (ended_) {
+        return;
+    }
+    ended_ = true;
+    timer_.stop();
+    const base::duration took = clock_.now() - arrived_;
+    context_.metrics
+        .counter_named("curranthoist_requests_total", "Callers' requests by outcome",
+                       std::string("outcome=\"") + outcome + "\"")
+        .add();
+    std::string line =
+        "event=request_ended id=" + request_.attempt.str() + " route=" + route_.name +
+        " version=" + std::to_string(table_->source().version) + " outcome=" + outcome +
+        " status=" + std::to_string(status) + " took_ms=" + std::to_string(took.count()) +
+        " sends=" + std::to_string(sends_.size()) + " hedges=" + std::to_string(hedges_) +
+        " retries=" + std::to_string(retries_) + " missing=" + std::to_string(missing);
+    if (!route_.gathers() && !sends_.empty()) {
+        line += " target=" + sends_.rbegin()->second.target.str();
+    }
+    if (sends_.empty()) {
+        line += " shortage=\"" +
+                context_.directory.explain(run_->service_of(0), clock_.now()).text() +
+                "\"";
+    }
+    context_.log.info(line);
+    on_end_();
+}
+
+} // namespace curranthoist::frontd
--- /dev/null
+++ b/curranthoist/frontd/caller_task.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "curranthoist/base/instant.hpp"
+#include "curranthoist/base/logger.hpp"
+#include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/deployment/route_table.hpp"
+#include "curranthoist/forwarding/request_run.hpp"
+#include "curranthoist/http/responder.hpp"
+#include "curranthoist/http/target_client.hpp"
+#include "curranthoist/platform/caller_exchange.hpp"
+
+#include <ev++.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace curranthoist::frontd {
+
+class route_latency;
+struct task_context;
+
+// One caller's request from its arrival to its answer: carries out what a request_run
+// decides, with real targets, and answers the caller.
+//
+// It lives until on_end() is called, which happens once; the owner drops it later,
+// outside of its handlers.
+class caller_task : public std::enable_shared_from_this<caller_task>
+{
+public:
+    using end_handler = std::function<void()>;
+
+    // The context must outlive it; the table keeps the route alive.
+    caller_task(task_context& context,
+                std::shared_ptr<const deployment::route_table> table,
+                const deployment::route& route, platform::inbound_request request,
+                http::responder answer);
+    caller_task(const caller_task&) = delete;
+    caller_task& operator=(const caller_task&) = delete;
+
+    void start(end_handler on_end);
+
+private:
+    struct target_send
+    {
+        base::target_id target;
+        http::target_client::call_number number = 0;
+        base::instant sent;
+        bool open = true;
+        std::optional<platform::target_response> response;
+    };
+
+    [[nodiscard]] forwarding::run_times times(base::instant now) const;
+    void perform(const std::vector<forwarding::run_action>& actions);
+    void send(const forwarding::send_action& action);
+    void cancel(const forwarding::cancel_action& action);
+    void finish(const forwarding::finish_action& action);
+    void answer(const forwarding::finish_action& action);
+    void on_result(forwarding::call_id call, http::target_result result);
+    void on_caller_gone();
+    void on_timer(ev::timer& watcher, int events);
+    void schedule();
+    void end(const char* outcome, unsigned status, std::size_t missing);
+    [[nodiscard]] http::caller_response gather(const forwarding::finish_action& action);
+
+    task_context& context_;
+    std::shared_ptr<const deployment::route_table> table_;
+    const deployment::route& route_;
+    platform::inbound_request request_;
+    http::responder answer_;
+    base::monotonic_clock clock_;
+    base::instant arrived_;
+    base::instant hard_limit_;
+    route_latency& latency_;
+    std::optional<forwarding::request_run> run_;
+    std::map<forwarding::call_id, target_send> sends_;
+    ev::timer timer_;
+    end_handler on_end_;
+    bool ended_ = false;
+    std::size_t hedges_ = 0;
+    std::size_t retries_ = 0;
+};
+
+} // namespace curranthoist::frontd
--- /dev/null
+++ b/curranthoist/frontd/core_links.cpp
@@ -0,0 +1,243 @@
+#include "curranthoist/frontd/core_links.hpp"
+
+#include "curranthoist/base/wall_clock.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace curranthoist::frontd {
+
+struct core_links::link
+{
+    base::endpoint address;
+    base::instant last_report;
+    base::instant last_answer;
+    bool answering = false;
+    std::unique_ptr<wire::peer_dialer> dialer;
+};
+
+core_links::core_links(ev::loop_ref loop, base::vm_id self, base::zone_id zone,
+                       std::vector<base::endpoint> seeds, handlers on)
+    : loop_(loop)
+    , self_(std::move(self))
+    , zone_(std::move(zone))
+    , incarnation_(static_cast<std::uint64_t>(base::wall_clock().now().count()))
+    , seeds_(std::move(seeds))
+    , on_(std::move(on))
+    , tick_(loop)
+{
+    tick_.set<core_links, &core_links::on_tick>(this);
+    tick_.start(report_interval.seconds() / 2, report_interval.seconds() / 2);
+    dial_missing();
+}
+
+core_links::~core_links() = default;
+
+wire::hello_message core_links::own_hello() const
+{
+    wire::hello_message hello;
+    hello.protocol = wire::protocol_version;
+    hello.sender = wire::role::entry;
+    hello.id = self_.str();
+    hello.zone = zone_.str();
+    hello.incarnation = incarnation_.value();
+    return hello;
+}
+
+void core_links::set_seeds(std::vector<base::endpoint> seeds)
+{
+    seeds_ = std::move(seeds);
+    dial_missing();
+}
+
+std::size_t core_links::live_members() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(links_.begin(), links_.end(),
+                      [](const auto& one) { return one.second->answering; }));
+}
+
+void core_links::dial_missing()
+{
+    std::set<base::endpoint> wanted = members_;
+    if (members_.empty() || clock_.now() - leader_heard_ > leader_limit) {
+        wanted.insert(seeds_.begin(), seeds_.end());
+        wanted.insert(rumoured_.begin(), rumoured_.end());
+    }
+    std::erase_if(links_, [&](const auto& one) {
+        return !wanted.contains(one.first) && !one.second->answering;
+    });
+    for (const base::endpoint& address : wanted) {
+        auto& added = links_[address];
+        if (added) {
+            continue;
+        }
+        added = std::make_unique<link>();
+        link& one = *added;
+        one.address = address;
+        one.last_answer = clock_.now();
+        one.dialer = std::make_unique<wire::peer_dialer>(
+            loop_, address,
+            [this, &one] {
+                one.last_answer = clock_.now();
+                one.dialer->send(own_hello());
+                report_to(one);
+            },
+            [this, &one](const wire::envelope& message) { on_message(one, message); },
+            [this, &one](const std::string& reason) {
+                if (one.answering) {
+                    log_.warn("event=core_lost member=" + one.address.str() +
+                              " reason=\"" + reason + "\"");
+                }
+                one.answering = false;
+            });
+    }
+}
+
+void core_links::on_tick(ev::timer& /*watcher*/, int /*events*/)
+{
+    const base::instant now = clock_.now();
+    dial_missing();
+    for (auto& [address, one] : links_) {
+        if (!one->dialer->is_connected()) {
+            continue;
+        }
+        if (now - one->last_answer > silence_limit) {
+            if (one->answering) {
+                log_.warn("event=core_lost member=" + address.str() +
+                          " reason=\"no answer\" age_ms=" +
+                          std::to_string((now - one->last_answer).count()));
+            }
+            one->answering = false;
+            one->dialer->reconnect();
+        }
+        else if (now - one->last_report >= report_interval) {
+            report_to(*one);
+        }
+    }
+}
+
+void core_links::report_to(link& to)
+{
+    to.last_report = clock_.now();
+    wire::front_report_message report;
+    report.sequence = ++sequence_;
+    report.state_index = state_index_;
+    report.listing_term = listing_term_;
+    report.listing_sequence = listing_sequence_;
+    to.dialer->send(report);
+}
+
+void core_links::on_message(link& from, const wire::envelope& message)
+{
+    if (const auto* report = message.body_as_core_report()) {
+        on_core_report(from, *report);
+    }
+    else if (const auto* snapshot = message.body_as_deployment_snapshot()) {
+        on_snapshot(from, *snapshot);
+    }
+    else if (const auto* listing = message.body_as_target_listing()) {
+        on_listing(from, *listing);
+    }
+    else if (const auto* check = message.body_as_target_listing_check()) {
+        on_check(*check);
+    }
+}
+
+void core_links::on_core_report(link& from, const wire::core_report& report)
+{
+    from.last_answer = clock_.now();
+    if (!from.answering) {
+        from.answering = true;
+        log_.info("event=core_reached member=" + from.address.str());
+    }
+    std::set<base::endpoint> members;
+    if (report.members() != nullptr) {
+        for (const auto* text : *report.members()) {
+            if (const auto address = base::endpoint::parse(text->str())) {
+                members.insert(*address);
+            }
+        }
+    }
+    if (!report.leader()) {
+        rumoured_.insert(members.begin(), members.end());
+        return;
+    }
+    leader_heard_ = clock_.now();
+    rumoured_.clear();
+    if (!members.empty() && members != members_) {
+        members_ = std::move(members);
+        log_.info("event=core_members_changed members=" +
+                  std::to_string(members_.size()) + " leader=" + from.address.str());
+    }
+    on_.on_front_count(report.fronts());
+}
+
+void core_links::on_snapshot(const link& from, const wire::deployment_snapshot& snapshot)
+{
+    if (snapshot.index() <= state_index_) {
+        return;
+    }
+    state_index_ = snapshot.index();
+    received_state state;
+    state.index = snapshot.index();
+    state.version = snapshot.version();
+    if (snapshot.document() != nullptr) {
+        state.document.assign(snapshot.document()->begin(), snapshot.document()->end());
+    }
+    if (snapshot.evacuated_zones() != nullptr) {
+        for (const auto* zone : *snapshot.evacuated_zones()) {
+            state.evacuated.insert(base::zone_id(zone->str()));
+        }
+    }
+    log_.info("event=state_received member=" + from.address.str() + " index=" +
+              std::to_string(state.index) + " version=" + std::to_string(state.version));
+    on_.on_state(std::move(state));
+}
+
+void core_links::on_listing(const link& from, const wire::target_listing& listing)
+{
+    if (std::tuple(listing.term(), listing.sequence()) <=
+        std::tuple(listing_term_, listing_sequence_)) {
+        return;
+    }
+    std::vector<deployment::listed_target> targets;
+    if (listing.targets() != nullptr) {
+        for (const auto* entry : *listing.targets()) {
+            const auto text = [](const flatbuffers::String* from_entry) {
+                return from_entry == nullptr ? std::string() : from_entry->str();
+            };
+            const auto address = base::endpoint::parse(text(entry->address()));
+            if (!address) {
+                log_.warn("event=listing_entry_malformed target=" + text(entry->id()));
+                continue;
+            }
+            targets.push_back(
+                {base::target_id(text(entry->id())),
+                 base::service_id(text(entry->service())),
+                 base::zone_id(text(entry->zone())), *address, entry->draining(),
+                 base::duration(static_cast<std::int64_t>(entry->cold_ms()))});
+        }
+    }
+    listing_term_ = listing.term();
+    listing_sequence_ = listing.sequence();
+    log_.info("event=listing_received member=" + from.address.str() +
+              " term=" + std::to_string(listing_term_) +
+              " sequence=" + std::to_string(listing_sequence_) +
+              " targets=" + std::to_string(targets.size()) +
+              " age_ms=" + std::to_string(listing.age_ms()));
+    on_.on_listing(std::move(targets),
+                   clock_.now() -
+                       base::duration(static_cast<std::int64_t>(listing.age_ms())));
+}
+
+void core_links::on_check(const wire::target_listing_check& check)
+{
+    if (check.term() == listing_term_ && check.sequence() == listing_sequence_) {
+        on_.on_listing_check(clock_.now() -
+                             base::duration(static_cast<std::int64_t>(check.age_ms())));
+    }
+}
+
+} // namespace curranthoist::frontd
--- /dev/null
+++ b/curranthoist/frontd/core_links.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "curranthoist/base/endpoint.hpp"
+#include "curranthoist/base/identifiers.hpp"
+#include "curranthoist/base/logger.hpp"
+#include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/deployment/listed_target.hpp"
+#include "curranthoist/wire/peer_dialer.hpp"
+
+#include <ev++.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace curranthoist::frontd {
+
+// The operators' state as a core process sent it.
+struct received_state
+{
+    // Position in the replicated log; a higher one is newer.
+    std::uint64_t index = 0;
+    std::uint64_t version = 0;
+    std::string document;
+    std::set<base::zone_id> evacuated;
+};
+
+// A front process's connections to every member of the core. It reports what it holds and
+// passes on what is newer; the members it learns about replace the seeds.
+class core_links
+{
+public:
+    struct handlers
+    {
+        // A state that is newer than every one before.
+        std::function<void(received_state)> on_state;
+        // A list of targets that is newer than every one before; its reading began at
+        // `read_at`.
+        std::function<void(std::vector<deployment::listed_target>, base::instant read_at)>
+            on_listing;
+        // A later reading named the same targets.
+        std::function<void(base::instant read_at)> on_listing_check;
+        // How many front processes share the limits.
+        std::function<void(std::size_t)> on_front_count;
+    };
+
+    static constexpr base::duration report_interval{400};
+    // Without an answer of the leader for this time, every address that was ever named is
+    // tried: the leader may be one that this process does not know.
+    static constexpr base::duration leader_limit{1200};
+    // A member that has not answered a report for this time gets a new connection.
+    static constexpr base::duration silence_limit{1500};
+
+    core_links(ev::loop_ref loop, base::vm_id self, base::zone_id zone,
+               std::vector<base::endpoint> seeds, handlers on);
+    ~core_links();
+    core_links(const core_links&) = delete;
+    core_links& operator=(const core_links&) = delete;
+
+    // Addresses to try besides the members that are known.
+    void set_seeds(std::vector<base::endpoint> seeds);
+    // Members that have answered a report within silence_limit.
+    [[nodiscard]] std::size_t live_members() const;
+
+private:
+    struct link;
+
+    void dial_missing();
+    void on_tick(ev::timer& watcher, int events);
+    void report_to(link& to);
+    void on_message(link& from, const wire::envelope& message);
+    void on_core_report(link& from, const wire::core_report& report);
+    void on_snapshot(const link& from, const wire::deployment_snapshot& snapshot);
+    void on_listing(const link& from, const wire::target_listing& listing);
+    void on_check(const wire::target_listing_check& check);
+    [[nodiscard]] wire::hello_message own_hello() const;
+
+    ev::loop_ref loop_;
+    base::vm_id self_;
+    base::zone_id zone_;
+    base::incarnation incarnation_;
+    std::vector<base::endpoint> seeds_;
+    // The members by the last leader that answered, and when it did.
+    std::set<base::endpoint> members_;
+    base::instant leader_heard_;
+    // Members that others than the leader have named since then.
+    std::set<base::endpoint> rumoured_;
+    handlers on_;
+    base::logger log_{"core-links"};
+    base::monotonic_clock clock_;
+    std::map<base::endpoint, std::unique_ptr<link>> links_;
+    ev::timer tick_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t state_index_ = 0;
+    std::uint64_t listing_term_ = 0;
+    std::uint64_t listing_sequence_ = 0;
+};
+
+} // namespace curranthoist::frontd
--- /dev/null
+++ b/curranthoist/frontd/core_links_test.cpp
@@ -0,0 +1,183 @@
+#include "curranthoist/frontd/core_links.hpp"
+#include "curranthoist/http/internal/listening_socket.hpp"
+#include "curranthoist/http/internal/raw_peer.hpp"
+#include "curranthoist/wire/peer_listener.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace curranthoist::frontd {
+namespace {
+
+using http::internal::run_until;
+
+base::endpoint free_endpoint()
+{
+    const int descriptor = http::internal::open_listening_socket({"127.0.0.1", 0});
+    const base::endpoint result = http::internal::bound_endpoint(descriptor);
+    ::close(descriptor);
+    return result;
+}
+
+// A core process that answers reports, as a leader or not, and can send messages.
+class fake_core
+{
+public:
+    fake_core(ev::loop_ref loop, const base::endpoint& local, bool leads,
+              std::vector<base::endpoint> members)
+        : loop_(loop)
+        , leads_(leads)
+        , members_(std::move(members))
+        , listener_(loop, local, [this](int descriptor) { on_accept(descriptor); })
+    {}
+
+    template <class Message>
+    void send(const Message& message)
+    {
+        for (const auto& one : peers_) {
+            one->send(message);
+        }
+    }
+    int reports = 0;
+    bool answers = true;
+
+private:
+    void on_accept(int descriptor)
+    {
+        ++accepted;
+        const std::size_t index = peers_.size();
+        peers_.push_back(std::make_unique<wire::peer_connection>(
+            loop_, descriptor,
+            [this, index](const wire::envelope& message) { on_message(index, message); },
+            [](const std::string&) {}));
+    }
+    void on_message(std::size_t peer, const wire::envelope& message)
+    {
+        const auto* report = message.body_as_front_report();
+        if (report == nullptr || !answers) {
+            return;
+        }
+        ++reports;
+        wire::core_report_message answer;
+        answer.sequence = report->sequence();
+        answer.leader = leads_;
+        answer.fronts = 3;
+        for (const base::endpoint& one : members_) {
+            answer.members.push_back(one.str());
+        }
+        peers_[peer]->send(answer);
+    }
+
+public:
+    int accepted = 0;
+
+private:
+    ev::loop_ref loop_;
+    bool leads_;
+    std::vector<base::endpoint> members_;
+    std::vector<std::unique_ptr<wire::peer_connection>> peers_;
+    wire::peer_listener listener_;
+};
+
+class core_links_test : public ::testing::Test
+{
+protected:
+    void connect(const std::vector<base::endpoint>& seeds)
+    {
+        core_links::handlers on;
+        on.on_state = [this](const received_state& state) { states_.push_back(state); };
+        on.on_listing = [this](std::vector<deployment::listed_target> targets,
+                               base::instant) { listings_.push_back(targets.size()); };
+        on.on_listing_check = [](base::instant) {};
+        on.on_front_count = [this](std::size_t count) { fronts_ = count; };
+        links_.emplace(loop_, base::vm_id("vm"), base::zone_id("z"), seeds, on);
+    }
+    static wire::deployment_snapshot_message state(std::uint64_t index)
+    {
+        wire::deployment_snapshot_message message;
+        message.index = index;
+        message.version = index;
+        return message;
+    }
+    static wire::target_listing_message listing(std::uint64_t term, std::uint64_t number,
+                                                std::size_t targets)
+    {
+        wire::target_listing_message message;
+        message.term = term;
+        message.sequence = number;
+        for (std::size_t i = 0; i < targets; ++i) {
+            auto entry = std::make_unique<wire::listed_target_message>();
+            entry->id = "t" + std::to_string(i);
+            entry->address = "10.0.0.1:80";
+            message.targets.push_back(std::move(entry));
+        }
+        return message;
+    }
+
+    ev::dynamic_loop loop_;
+    std::optional<core_links> links_;
+    std::vector<received_state> states_;
+    std::vector<std::size_t> listings_;
+    std::size_t fronts_ = 0;
+};
+
+// Guards against a front that stays without a list for good: it reached a follower first,
+// dropped the seed that was not up yet, and that one became the leader.
+TEST_F(core_links_test, seeds_are_dialled_until_a_leader_has_named_the_members)
+{
+    const base::endpoint first = free_endpoint();
+    const base::endpoint second = free_endpoint();
+    fake_core follower(loop_, first, false, {first, second});
+    connect({first, second});
+    ASSERT_TRUE(run_until(loop_, [&] { return follower.reports >= 2; }));
+    fake_core leader(loop_, second, true, {first, second});
+    EXPECT_TRUE(run_until(loop_, [&] { return leader.reports > 0; }));
+    EXPECT_TRUE(run_until(loop_, [&] { return fronts_ == 3; }));
+}
+
+// Guards against a front that knows only members which are gone.
+TEST_F(core_links_test, members_that_a_follower_names_are_dialled_without_a_leader)
+{
+    const base::endpoint first = free_endpoint();
+    const base::endpoint second = free_endpoint();
+    fake_core follower(loop_, first, false, {first, second});
+    fake_core leader(loop_, second, true, {first, second});
+    connect({first});
+    EXPECT_TRUE(run_until(loop_, [&] { return leader.reports > 0; }));
+}
+
+// Guards against a configuration or list that goes back to an older one.
+TEST_F(core_links_test, only_newer_states_and_lists_are_passed_on)
+{
+    const base::endpoint first = free_endpoint();
+    fake_core leader(loop_, first, true, {first});
+    connect({first});
+    ASSERT_TRUE(run_until(loop_, [&] { return leader.reports > 0; }));
+    leader.send(state(5));
+    leader.send(state(4));
+    leader.send(state(5));
+    leader.send(state(6));
+    leader.send(listing(2, 1, 3));
+    leader.send(listing(1, 9, 9));
+    leader.send(listing(2, 2, 4));
+    ASSERT_TRUE(run_until(loop_, [&] { return listings_.size() >= 2; }));
+    EXPECT_EQ(listings_, (std::vector<std::size_t>{3, 4}));
+    ASSERT_EQ(states_.size(), 2U);
+    EXPECT_EQ(states_[1].index, 6U);
+}
+
+// Guards against a connection that has gone silent and is kept for good.
+TEST_F(core_links_test, a_member_that_stops_answering_gets_a_new_connection)
+{
+    const base::endpoint first = free_endpoint();
+    fake_core leader(loop_, first, true, {first});
+    connect({first});
+    ASSERT_TRUE(run_until(loop_, [&] { return links_->live_members() == 1; }));
+    leader.answers = false;
+    ASSERT_TRUE(run_until(loop_, [&] { return links_->live_members() == 0; }));
+    EXPECT_TRUE(run_until(loop_, [&] { return leader.accepted >= 2; }));
+}
+
+} // namespace
+} // namespace curranthoist::frontd
--- /dev/null
+++ b/curranthoist/frontd/front_process.cpp
@@ -0,0 +1,281 @@
+#include "curranthoist/frontd/front_process.hpp"
+
+#include "curranthoist/base/findings_error.hpp"
+#include "curranthoist/http/status.hpp"
+#include "curranthoist/platform/configuration_document.hpp"
+
+#include <random>
+#include <utility>
+
+namespace curranthoist::frontd {
+
+namespace {
+
+constexpr double tick_s = 0.1;
+// The load balancer asks once a second and believes the second miss; then it sends no new
+// connections.
+constexpr base::duration balancer_delay{2500};
+// What is left of the platform's stop limit when the process ends by itself.
+constexpr base::duration stop_margin{400};
+// A healthy target answers its health request within a few milliseconds.
+constexpr base::duration health_limit{300};
+constexpr unsigned max_caller_connections = 2500;
+// Longer than callers keep an idle connection, so that they close it first.
+constexpr unsigned idle_seconds = 60;
+
+std::vector<base::endpoint> peers_of(const platform::node_settings& settings)
+{
+    std::vector<base::endpoint> result;
+    for (const base::endpoint& seed : settings.seeds) {
+        result.push_back({seed.address, settings.first_internal_port});
+    }
+    return result;
+}
+
+platform::node_settings checked(platform::node_settings settings)
+{
+    base::findings found;
+    if (!settings.callers) {
+        found.add("settings", "the address for callers is missing");
+    }
+    if (!settings.readiness) {
+        found.add("settings", "the address for readiness is missing");
+    }
+    found.throw_if_any();
+    return settings;
+}
+
+} // namespace
+
+front_process::front_process(ev::loop_ref loop, platform::node_settings settings)
+    : loop_(loop)
+    , settings_(checked(std::move(settings)))
+    , context_{loop,
+               forwarding::target_directory({settings_.zone, settings_.list_lag}),
+               forwarding::extra_send_budget({settings_.extra_ratio,
+                                              settings_.extra_slack,
+                                              settings_.extra_window}),
+               target_pool(loop),
+               base::random_source(std::random_device()()),
+               {},
+               base::logger("request"),
+               {},
+               1}
+    , tick_(loop)
+{
+    links_ =
+        std::make_unique<core_links>(loop_, base::vm_id(settings_.name), settings_.zone,
+                                     peers_of(settings_), link_handlers());
+    callers_ = std::make_unique<http::caller_server>(
+        loop_,
+        http::caller_server_options{.listen = *settings_.callers,
+                                    .max_connections = max_caller_connections,
+                                    .idle_seconds = idle_seconds},
+        [this](http::caller_request request, http::responder answer) {
+            on_request(std::move(request), std::move(answer));
+        });
+    readiness_ = std::make_unique<http::caller_server>(
+        loop_, http::caller_server_options{.listen = *settings_.readiness},
+        [this](const http::caller_request& request, const http::responder& answer) {
+            on_readiness(request, answer);
+        });
+    tick_.set<front_process, &front_process::on_tick>(this);
+    tick_.start(tick_s, tick_s);
+    log_.info("event=started vm=" + settings_.name + " zone=" + settings_.zone.str() +
+              " callers=" + settings_.callers->str());
+}
+
+core_links::handlers front_process::link_handlers()
+{
+    core_links::handlers on;
+    on.on_state = [this](const received_state& state) { on_state(state); };
+    on.on_listing = [this](std::vector<deployment::listed_target> targets,
+                           base::instant read_at) {
+        on_listing(std::move(targets), read_at);
+    };
+    on.on_listing_check = [this](base::instant read_at) {
+        context_.directory.confirm_listing(read_at);
+    };
+    on.on_front_count = [this](std::size_t fronts) {
+        if (fronts > 0 && fronts != context_.fronts) {
+            log_.info("event=front_count_changed fronts=" + std::to_string(fronts));
+            context_.fronts = fronts;
+            context_.budget.set_vm_count(fronts);
+        }
+    };
+    return on;
+}
+
+void front_process::on_state(const received_state& state)
+{
+    context_.directory.set_evacuated(state.evacuated, clock_.now());
+    if (state.version == 0 || (table_ && table_->source().version >= state.version)) {
+        return;
+    }
+    try {
+        table_ = std::make_shared<const deployment::route_table>(
+            platform::decode_configuration(state.document));
+        log_.info(
+            "event=configuration_in_force version=" + std::to_string(state.version) +
+            " routes=" + std::to_string(table_->source().routes.size()));
+    }
+    catch (const base::findings_error& error) {
+        log_.error("event=configuration_unreadable version=" +
+                   std::to_string(state.version) + " findings=\"" + error.what() + "\"");
+    }
+}
+
+void front_process::on_listing(std::vector<deployment::listed_target> targets,
+                               base::instant read_at)
+{
+    context_.pool.retire(context_.directory.replace_listing(targets, read_at));
+}
+
+void front_process::on_request(http::caller_request request, http::responder answer)
+{
+    platform::inbound_request inbound =
+        platform::decode_caller_request(std::move(request));
+    // A request that is taken now might outlast the process.
+    if (stop_begun_ != base::instant::max() &&
+        clock_.now() - stop_begun_ >= balancer_delay) {
+        log_.info("event=request_refused id=" + inbound.attempt.str() +
+                  " reason=\"the process stops\"");
+        answer.respond(platform::own_response(http::status::service_unavailable,
+                                              "not run: this VM is stopping",
+                                              base::duration()));
+        return;
+    }
+    if (!table_ || !context_.directory.has_listing()) {
+        log_.info("event=request_refused id=" + inbound.attempt.str() +
+                  " reason=\"no configuration or list yet\"");
+        answer.respond(platform::own_response(http::status::service_unavailable,
+                                              "not run: this VM is starting",
+                                              base::duration(100)));
+        return;
+    }
+    const deployment::route* route = table_->find(inbound.host, inbound.target);
+    if (route == nullptr) {
+        log_.info("event=request_refused id=" + inbound.attempt.str() +
+                  " reason=\"no route\" host=" + inbound.host +
+                  " version=" + std::to_string(table_->source().version));
+        answer.respond(
+            platform::own_response(http::status::not_found, "no route", std::nullopt));
+        return;
+    }
+    const std::uint64_t number = ++last_task_;
+    auto task = std::make_shared<caller_task>(context_, table_, *route,
+                                              std::move(inbound), std::move(answer));
+    tasks_[number] = task;
+    task->start([this, number] {
+        const auto found = tasks_.find(number);
+        ended_.push_back(std::move(found->second));
+        tasks_.erase(found);
+    });
+}
+
+bool front_process::is_ready() const
+{
+    return table_ && context_.directory.has_listing() &&
+           stop_begun_ == base::instant::max();
+}
+
+void front_process::on_readiness(const http::caller_request& request,
+                                 const http::responder& answer)
+{
+    if (request.path == "/metrics") {
+        answer.respond({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+                        .body = context_.metrics.prometheus_text()});
+        return;
+    }
+    if (!platform::is_readiness_path(request.path)) {
+        answer.respond({.status = http::status::not_found, .body = "{}"});
+        return;
+    }
+    answer.respond(
+        {.status = is_ready() ? http::status::ok : http::status::service_unavailable,
+         .body = "{}"});
+}
+
+void front_process::probe_targets(base::instant now)
+{
+    for (const base::target_id& id : context_.directory.due_probes(now)) {
+        const deployment::listed_target* target = context_.directory.find(id);
+        const auto limits = table_
+                                ? table_->source().services.find(target->service)
+                                : std::map<base::service_id,
+                                           deployment::service_limits>::const_iterator();
+        if (!table_ || limits == table_->source().services.end()) {
+            continue;
+        }
+        http::target_client& client = context_.pool.client(
+            id, target->address,
+            context_.connection_share(limits->second.max_connections));
+        client.start(
+            platform::encode_health_call(limits->second.health_path, health_limit),
+            [this, id](const http::target_result& result) {
+                const platform::health_answer health =
+                    platform::decode_health_answer(result);
+                const bool same = health.instance == id;
+                log_.info("event=target_probed target=" + id.str() + " outcome=\"" +
+                          std::string(http::outcome_text(result.outcome)) +
+                          "\" status=" + std::to_string(result.status) +
+                          " instance=" + health.instance.str() +
+                          " cold_ms=" + std::to_string(health.cold_for.count()));
+                if (health.healthy && same) {
+                    context_.directory.on_healthy(id, health.cold_for, clock_.now());
+                }
+            });
+    }
+}
+
+void front_process::on_tick(ev::timer& /*watcher*/, int /*events*/)
+{
+    const base::instant now = clock_.now();
+    ended_.clear();
+    context_.pool.drop_idle();
+    probe_targets(now);
+    if (is_ready() != announced_ready_) {
+        announced_ready_ = is_ready();
+        log_.info(std::string("event=readiness_changed ready=") +
+                  (announced_ready_ ? "true" : "false") +
+                  " cores=" + std::to_string(links_->live_members()));
+    }
+    if (stop_begun_ != base::instant::max()) {
+        step_stop(now);
+    }
+}
+
+void front_process::reload(const platform::node_settings& settings)
+{
+    settings_.seeds = settings.seeds;
+    links_->set_seeds(peers_of(settings_));
+    log_.info("event=settings_reloaded seeds=" + std::to_string(settings_.seeds.size()));
+}
+
+void front_process::stop()
+{
+    if (stop_begun_ != base::instant::max()) {
+        return;
+    }
+    stop_begun_ = clock_.now();
+    callers_->announce_close();
+    log_.info("event=stopping requests=" + std::to_string(tasks_.size()));
+}
+
+void front_process::step_stop(base::instant now)
+{
+    const base::duration since = now - stop_begun_;
+    if (since < balancer_delay) {
+        return;
+    }
+    callers_->stop_accepting();
+    callers_->close_idle();
+    const bool idle = callers_->open_requests() == 0 && callers_->live_connections() == 0;
+    if (idle || since >= settings_.stop_limit - stop_margin) {
+        log_.info("event=stopped requests=" + std::to_string(tasks_.size()) +
+                  " connections=" + std::to_string(callers_->live_connections()));
+        loop_.break_loop(ev::ALL);
+    }
+}
+
+} // namespace curranthoist::frontd
--- /dev/null
+++ b/curranthoist/frontd/front_process.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "curranthoist/base/logger.hpp"
+#include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/deployment/route_table.hpp"
+#include "curranthoist/frontd/caller_task.hpp"
+#include "curranthoist/frontd/core_links.hpp"
+#include "curranthoist/frontd/task_context.hpp"
+#include "curranthoist/http/caller_server.hpp"
+#include "curranthoist/platform/node_settings.hpp"
+
+#include <ev++.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace curranthoist::frontd {
+
+// One front process: takes callers' requests, sends them to targets of its own choice and
+// answers. It keeps no state of its own; configuration and list come from the core.
+class front_process
+{
+public:
+    // Throws base::findings_error if settings that it needs are missing, and
+    // std::system_error if an address can't be bound.
+    front_process(ev::loop_ref loop, platform::node_settings settings);
+    front_process(const front_process&) = delete;
+    front_process& operator=(const front_process&) = delete;
+
+    // Begins a graceful stop: the load balancer is told first, then no connection is
+    // taken, and the loop ends once every request has its answer.
+    void stop();
+    // Takes over settings that may change while it runs: the seeds.
+    void reload(const platform::node_settings& settings);
+
+private:
+    [[nodiscard]] core_links::handlers link_handlers();
+    void on_state(const received_state& state);
+    void on_listing(std::vector<deployment::listed_target> targets,
+                    base::instant read_at);
+    void on_request(http::caller_request request, http::responder answer);
+    void on_readiness(const http::caller_request& request, const http::responder& answer);
+    [[nodiscard]] bool is_ready() const;
+    void on_tick(ev::timer& watcher, int events);
+    void probe_targets(base::instant now);
+    void step_stop(base::instant now);
+
+    ev::loop_ref loop_;
+    platform::node_settings settings_;
+    base::logger log_{"front"};
+    base::monotonic_clock clock_;
+    task_context context_;
+    std::shared_ptr<const deployment::route_table> table_;
+    std::map<std::uint64_t, std::shared_ptr<caller_task>> tasks_;
+    std::uint64_t last_task_ = 0;
+    // Ended tasks, dropped outside of their handlers.
+    std::vector<std::shared_ptr<caller_task>> ended_;
+    std::unique_ptr<core_links> links_;
+    std::unique_ptr<http::caller_server> callers_;
+    std::unique_ptr<http::caller_server> readiness_;
+    ev::timer tick_;
+    base::instant stop_begun_ = base::instant::max();
+    bool announced_ready_ = false;
+};
+
+} // namespace curranthoist::frontd
--- /dev/null
+++ b/curranthoist/frontd/route_latency.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "curranthoist/base/duration.hpp"
+#include "curranthoist/base/latency_tracker.hpp"
+
+#include <algorithm>
+
+namespace curranthoist::frontd {
+
+// How long the targets of one route take, as this process saw it.
+class route_latency
+{
+public:
+    void add(base::duration took)
+    {
+        tracker_.add(took);
+        const auto value = static_cast<double>(took.count());
+        mean_ms_ = mean_ms_ <= 0 ? value : mean_ms_ + (value - mean_ms_) * mean_weight;
+    }
+    // The smoothed mean; 0 without history.
+    [[nodiscard]] base::duration mean() const
+    {
+        return base::duration(static_cast<std::int64_t>(mean_ms_ + half));
+    }
+    // When a request to another target is worth its cost: after the 95th percentile, and
+    // early enough for the second answer to meet the objective.
+    [[nodiscard]] base::duration hedge_after(base::duration objective) const
+    {
+        const base::duration latest = base::duration(static_cast<std::int64_t>(
+            static_cast<double>(objective.count()) * latest_part_of_objective));
+        return std::max(least_hedge, std::min(tracker_.p95() + hedge_margin, latest));
+    }
+
+private:
+    static constexpr double mean_weight = 0.05;
+    static constexpr double half = 0.5;
+    // Leaves the second target more than half of the objective.
+    static constexpr double latest_part_of_objective = 0.4;
+    // An answer at the percentile itself needs no hedge.
+    static constexpr base::duration hedge_margin{3};
+    static constexpr base::duration least_hedge{10};
+
+    base::latency_tracker tracker_;
+    double mean_ms_ = 0;
+};
+
+} // namespace curranthoist::frontd
--- /dev/null
+++ b/curranthoist/frontd/target_pool.cpp
@@ -0,0 +1,53 @@
+#include "curranthoist/frontd/target_pool.hpp"
+
+#include <utility>
+
+namespace curranthoist::frontd {
+
+http::target_client& target_pool::client(const base::target_id& id,
+                                         const base::endpoint& address,
+                                         std::size_t max_connections)
+{
+    auto& found = clients_[id];
+    if (found && found->remote() != address) {
+        retired_.push_back(std::move(found));
+    }
+    if (!found) {
+        found = std::make_unique<http::target_client>(loop_, address, max_connections);
+    }
+    else if (found->max_connections() != max_connections) {
+        found->set_max_connections(max_connections);
+    }
+    return *found;
+}
+
+http::target_client* target_pool::find(const base::target_id& id)
+{
+    const auto found = clients_.find(id);
+    return found == clients_.end() ? nullptr : found->second.get();
+}
+
+void target_pool::retire(const std::vector<base::target_id>& ids)
+{
+    for (const base::target_id& id : ids) {
+        if (auto gone = clients_.extract(id); !gone.empty()) {
+            retired_.push_back(std::move(gone.mapped()));
+        }
+    }
+}
+
+void target_pool::drop_idle()
+{
+    std::erase_if(retired_, [](const auto& one) { return one->open_calls() == 0; });
+}
+
+std::size_t target_pool::open_sockets() const
+{
+    std::size_t sum = 0;
+    for (const auto& [id, client] : clients_) {
+        sum += client->open_sockets();
+    }
+    return sum;
+}
+
+} // namespace curranthoist::frontd
--- /dev/null
+++ b/curranthoist/frontd/target_pool.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "curranthoist/base/endpoint.hpp"
+#include "curranthoist/base/identifiers.hpp"
+#include "curranthoist/http/target_client.hpp"
+
+#include <ev++.h>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace curranthoist::frontd {
+
+// The connections of one front process to each target, within its part of what the target
+// accepts from all of them together.
+class target_pool
+{
+public:
+    explicit target_pool(ev::loop_ref loop)
+        : loop_(loop)
+    {}
+
+    // The client of a target; created at the first call.
+    http::target_client& client(const base::target_id& id, const base::endpoint& address,
+                                std::size_t max_connections);
+    // The client if there is one.
+    [[nodiscard]] http::target_client* find(const base::target_id& id);
+    // The targets are gone: their clients end once their calls have.
+    void retire(const std::vector<base::target_id>& ids);
+    // Drops retired clients without calls; must not be called from a result handler.
+    void drop_idle();
+    [[nodiscard]] std::size_t open_sockets() const;
+
+private:
+    ev::loop_ref loop_;
+    std::map<base::target_id, std::unique_ptr<http::target_client>> clients_;
+    std::vector<std::unique_ptr<http::target_client>> retired_;
+};
+
+} // namespace curranthoist::frontd
--- /dev/null
+++ b/curranthoist/frontd/task_context.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "curranthoist/base/counter_registry.hpp"
+#include "curranthoist/base/logger.hpp"
+#include "curranthoist/base/random_source.hpp"
+#include "curranthoist/forwarding/extra_send_budget.hpp"
+#include "curranthoist/forwarding/target_directory.hpp"
+#include "curranthoist/frontd/route_latency.hpp"
+#include "curranthoist/frontd/target_pool.hpp"
+
+#include <ev++.h>
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace curranthoist::frontd {
+
+// What the tasks of one front process share.
+struct task_context
+{
+    ev::loop_ref loop;
+    forwarding::target_directory directory;
+    forwarding::extra_send_budget budget;
+    target_pool pool;
+    base::random_source random;
+    base::counter_registry metrics;
+    base::logger log{"request"};
+    // By the route's name.
+    std::map<std::string, route_latency> latencies;
+    // Front processes that share each target's connections; at least 1.
+    std::size_t fronts = 1;
+
+    // This process's part of the connections that a target accepts.
+    [[nodiscard]] std::size_t connection_share(std::size_t max_connections) const
+    {
+        // The rest is for processes that have just joined and connections that are
+        // closing.
+        constexpr double used_part = 0.85;
+        const double share = static_cast<double>(max_connections) * used_part /
+                             static_cast<double>(fronts == 0 ? 1 : fronts);
+        return share < 1 ? 1 : static_cast<std::size_t>(share);
+    }
+};
+
+} // namespace curranthoist::frontd
--- a/curranthoist/http/caller_request.hpp
+++ b/curranthoist/http/caller_request.hpp
@@ -20,6 +20,8 @@
     std::string method = {};
     // The decoded path, without the query arguments.
     std::string path = {};
+    // Path and query as they were sent, not decoded.
+    std::string target = {};
     argument_map arguments = {};
     header_map headers = {};
     std::string body = {};
--- a/curranthoist/http/caller_server.cpp
+++ b/curranthoist/http/caller_server.cpp
@@ -124,9 +124,9 @@
         MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         options_.max_header_bytes + connection_memory_overhead,
-        MHD_OPTION_CONNECTION_TIMEOUT, options_.idle_seconds, MHD_OPTION_NOTIFY_COMPLETED,
-        &completed_callback, this, MHD_OPTION_NOTIFY_CONNECTION, &connection_callback,
-        this, MHD_OPTION_END);
+        MHD_OPTION_CONNECTION_TIMEOUT, options_.idle_seconds, MHD_OPTION_URI_LOG_CALLBACK,
+        &target_callback, this, MHD_OPTION_NOTIFY_COMPLETED, &completed_callback, this,
+        MHD_OPTION_NOTIFY_CONNECTION, &connection_callback, this, MHD_OPTION_END);
     if (daemon_ == nullptr) {
         ::close(listener_);
         ::close(close_epoll_);
@@ -217,6 +217,20 @@
     }
 }
 
+void caller_server::close_idle()
+{
+    for (const auto& [connection, entry] : connections_) {
+        char byte = 0;
+        const bool has_input =
+            ::recv(entry.descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+        // libmicrohttpd sees the end of the stream and closes the socket.
+        if (!has_input && !exchanges_.contains(connection)) {
+            ::shutdown(entry.descriptor, SHUT_RDWR);
+        }
+    }
+    run_daemon();
+}
+
 std::size_t caller_server::live_connections() const
 {
     return static_cast<std::size_t>(
@@ -246,12 +260,21 @@
     const std::uint64_t number = server.connections_[connection].number;
     if (!open) {
         server.connections_.erase(connection);
+        server.targets_.erase(connection);
     }
     if (server.on_connection_) {
         server.on_connection_(number, open);
     }
 }
 
+// What it returns would be the request's context, which access_callback() sets.
+void* caller_server::target_callback(void* self, const char* target,
+                                     MHD_Connection* connection)
+{
+    static_cast<caller_server*>(self)->targets_[connection] = target;
+    return nullptr;
+}
+
 MHD_Result caller_server::access_callback(void* self, MHD_Connection* connection,
                                           const char* url, const char* method,
                                           const char* /*version*/, const char* data,
@@ -277,6 +300,7 @@
     caller_request& request = current->request;
     request.method = method;
     request.path = url;
+    request.target = std::move(targets_[connection]);
     request.connection = connections_.at(connection).number;
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect_header,
                               &request.headers);
@@ -355,7 +379,7 @@
     for (const auto& [name, value] : answer.headers) {
         MHD_add_response_header(response, name.c_str(), value.c_str());
     }
-    if (!accepting_) {
+    if (!accepting_ || announces_close_) {
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
     }
     const MHD_Result result = MHD_queue_response(connection, answer.status, response);
--- a/curranthoist/http/caller_server.hpp
+++ b/curranthoist/http/caller_server.hpp
@@ -53,6 +53,12 @@
     // Closes the listening socket. Open connections keep working; each response from now
     // on asks the caller to close its connection.
     void stop_accepting();
+    // Each response from now on asks the caller to close its connection; new connections
+    // are still accepted.
+    void announce_close() { announces_close_ = true; }
+    // Closes the connections on which no request has begun, so that a caller does not
+    // begin one there. Bytes that are under way meet a closed connection.
+    void close_idle();
     // Requests that were received but whose responses are not completely sent.
     [[nodiscard]] std::size_t open_requests() const { return exchanges_.size(); }
     // Connections whose other end has not closed, as the kernel sees it now.
@@ -71,6 +77,8 @@
 
     static MHD_Result accept_callback(void* self, const sockaddr* address,
                                       socklen_t size);
+    static void* target_callback(void* self, const char* target,
+                                 MHD_Connection* connection);
     static MHD_Result access_callback(void* self, MHD_Connection* connection,
                                       const char* url, const char* method,
                                       const char* version, const char* data,
@@ -115,8 +123,11 @@
     ev::timer daemon_timer_;
     ev::io close_watcher_;
     bool accepting_ = true;
+    bool announces_close_ = false;
     std::uint64_t last_connection_ = 0;
     std::map<MHD_Connection*, connection_entry> connections_;
+    // Path and query of the request that each connection is receiving.
+    std::map<MHD_Connection*, std::string> targets_;
     std::map<MHD_Connection*, std::shared_ptr<internal::exchange>> exchanges_;
 };
 
--- a/curranthoist/http/caller_server_test.cpp
+++ b/curranthoist/http/caller_server_test.cpp
@@ -187,6 +187,50 @@
     EXPECT_EQ(server_->open_requests(), 0U);
 }
 
+// Guards against a forwarded path or query that differs from the one that was sent.
+TEST_F(caller_server_test, hands_over_path_and_query_as_they_were_sent)
+{
+    start();
+    raw_peer peer(server_->local());
+    peer.send("GET /a%20b/%2F?x=%41&y=a+b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(receives(1));
+    EXPECT_EQ(requests_[0].target, "/a%20b/%2F?x=%41&y=a+b");
+    raw_peer second(server_->local());
+    second.send("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(receives(2));
+    EXPECT_EQ(requests_[1].target, "/second");
+}
+
+// Guards against a stop during which callers begin requests on kept connections, which
+// then outlast the process, and against one that cuts a request under way.
+TEST_F(caller_server_test, closing_idle_connections_spares_those_with_a_request)
+{
+    start();
+    raw_peer busy(server_->local());
+    busy.send(get_request);
+    ASSERT_TRUE(receives(1));
+    raw_peer idle(server_->local());
+    ASSERT_TRUE(run_until(loop_, [this] { return server_->live_connections() == 2; }));
+    server_->close_idle();
+    EXPECT_TRUE(run_until(loop_, [&idle] { return idle.ended(); }));
+    EXPECT_FALSE(busy.ended());
+    answers_[0].respond({.body = "{}"});
+    EXPECT_TRUE(reads(busy, "200 OK"));
+}
+
+// Guards against callers that keep a connection to a process which is about to end.
+TEST_F(caller_server_test,
+       an_announced_close_is_in_each_response_and_new_callers_are_taken)
+{
+    start();
+    server_->announce_close();
+    answer_at_once_ = true;
+    raw_peer peer(server_->local());
+    peer.send(get_request);
+    EXPECT_TRUE(reads(peer, "Connection: close"));
+    EXPECT_TRUE(still_serves());
+}
+
 TEST_F(caller_server_test, a_stop_resets_no_connection_that_waits_to_be_accepted)
 {
     start();
--- a/curranthoist/http/internal/curl_handle_setup.cpp
+++ b/curranthoist/http/internal/curl_handle_setup.cpp
@@ -31,8 +31,8 @@
     if (equal_names(name, "Content-Length") || equal_names(name, "Transfer-Encoding")) {
         current.has_length = true;
     }
-    if (equal_names(name, "Request-Id")) {
-        const auto sent = current.call.headers.find("Request-Id");
+    if (equal_names(name, current.call.id_header)) {
+        const auto sent = current.call.headers.find(current.call.id_header);
         current.mismatched = sent != current.call.headers.end() && sent->second != value;
     }
     current.result.headers.emplace(name, value);
@@ -89,6 +89,12 @@
 {
     // An empty Expect keeps libcurl from waiting for 100 before it sends a long body.
     curl_slist* list = curl_slist_append(nullptr, "Expect:");
+    // An empty value keeps libcurl from adding a header that the caller did not send.
+    for (const char* const added : {"Accept", "Content-Type"}) {
+        if (!current.call.headers.contains(std::string_view(added))) {
+            list = curl_slist_append(list, (std::string(added) + ":").c_str());
+        }
+    }
     for (const auto& [name, value] : current.call.headers) {
         std::string line = name;
         line.append(": ").append(value);
@@ -100,12 +106,21 @@
 
 void add_body(const running_call& current)
 {
-    if (current.call.method != "POST") {
-        curl_easy_setopt(current.handle, CURLOPT_CUSTOMREQUEST,
-                         current.call.method.c_str());
+    const std::string& method = current.call.method;
+    if (method == "HEAD") {
+        curl_easy_setopt(current.handle, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    const bool has_body = !current.call.body.empty() || method == "POST" ||
+                          method == "PUT" || method == "PATCH";
+    if (!has_body) {
+        curl_easy_setopt(current.handle, CURLOPT_CUSTOMREQUEST, method.c_str());
         return;
     }
     curl_easy_setopt(current.handle, CURLOPT_POST, 1L);
+    if (method != "POST") {
+        curl_easy_setopt(current.handle, CURLOPT_CUSTOMREQUEST, method.c_str());
+    }
     curl_easy_setopt(current.handle, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(current.call.body.size()));
     curl_easy_setopt(current.handle, CURLOPT_POSTFIELDS, current.call.body.data());
@@ -129,7 +144,9 @@
     const unsigned status = current.result.status;
     const bool bodiless =
         status == http::status::no_content || status == http::status::not_modified;
-    return (bodiless || current.has_length) && has_announced_size(current);
+    return (bodiless || current.has_length || current.call.accept_unframed ||
+            current.call.method == "HEAD") &&
+           has_announced_size(current);
 }
 
 } // namespace
--- a/curranthoist/http/internal/target_socket.hpp
+++ b/curranthoist/http/internal/target_socket.hpp
@@ -16,6 +16,8 @@
     ev::io watcher;
     // The client's number of this connection.
     std::uint64_t number = 0;
+    // The call that it was opened for.
+    std::uint64_t opened_by = 0;
     // Its local port, once it is connected; libcurl names a connection by it.
     int local_port = 0;
     // Calls that were sent on it.
--- a/curranthoist/http/target_call.hpp
+++ b/curranthoist/http/target_call.hpp
@@ -5,23 +5,29 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 
 namespace curranthoist::http {
 
 // One HTTP request to a target.
 struct target_call
 {
-    // "GET" or "POST".
+    // Any method with its body; HEAD is sent without one.
     std::string method = "POST";
     // The path with its query arguments, already encoded; starts with '/'.
     std::string path = {};
     header_map headers = {};
-    // Sent with POST only.
+    // Sent with its length; an empty one only with POST, PUT and PATCH.
     std::string body = {};
     // From start() to the end of the response, including the wait for a connection.
     base::duration time_limit{1000};
     // Sends it on a connection that nothing else has used or will use. Orders need it.
     bool fresh_connection = false;
+    // The header that names the request; a response that names another one is refused.
+    std::string_view id_header = "Request-Id";
+    // Takes a body without length as whole if the target ends the connection in order.
+    // Otherwise such a response counts as truncated.
+    bool accept_unframed = false;
     // A longer response body ends the call as too large.
     std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
 };
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -180,6 +180,7 @@
     }
     auto opened = std::make_unique<target_socket>(client.loop_);
     opened->number = ++client.last_connection_;
+    opened->opened_by = current.number;
     opened->watcher.set<target_client, &target_client::on_socket_event>(&client);
     client.sockets_[descriptor] = std::move(opened);
     client.peak_sockets_ = std::max(client.peak_sockets_, client.sockets_.size());
@@ -333,12 +334,29 @@
 {
     // Closes the connection as well if the response is not complete.
     curl_multi_remove_handle(multi_, current.handle);
+    forget_unused_socket(current.number);
     curl_easy_reset(current.handle);
     idle_handles_.push_back(current.handle);
     current.handle = nullptr;
     --active_calls_;
 }
 
+// libcurl closes a socket that has not connected yet without the close callback.
+void target_client::forget_unused_socket(call_number opened_by)
+{
+    const auto unused =
+        std::find_if(sockets_.begin(), sockets_.end(), [opened_by](const auto& each) {
+            return each.second->opened_by == opened_by && each.second->calls == 0;
+        });
+    if (unused == sockets_.end()) {
+        return;
+    }
+    sockets_.erase(unused);
+    if (on_socket_) {
+        on_socket_(0, false);
+    }
+}
+
 void target_client::end_call(call_number number, call_outcome outcome)
 {
     const auto found = calls_.find(number);
--- a/curranthoist/http/target_client.hpp
+++ b/curranthoist/http/target_client.hpp
@@ -62,6 +62,7 @@
     // above the limit are closed as calls end.
     void set_max_connections(std::size_t max_connections);
 
+    [[nodiscard]] std::size_t max_connections() const { return max_connections_; }
     [[nodiscard]] std::size_t open_sockets() const { return sockets_.size(); }
     // The most sockets that were open at once.
     [[nodiscard]] std::size_t peak_sockets() const { return peak_sockets_; }
@@ -90,6 +91,7 @@
     void collect_finished_calls();
     void end_call(call_number number, call_outcome outcome);
     void release_handle(internal::running_call& current);
+    void forget_unused_socket(call_number opened_by);
     void deliver_results();
 
     void on_socket_event(ev::io& watcher, int events);
--- a/curranthoist/http/target_client_test.cpp
+++ b/curranthoist/http/target_client_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <cstdlib>
 #include <functional>
 #include <map>
@@ -12,7 +13,11 @@
 #include <string>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace curranthoist::http {
 namespace {
@@ -271,6 +276,63 @@
     EXPECT_TRUE(results_[0].request_may_have_left);
 }
 
+// A listening socket whose queue of connections is full: further connects hang.
+class full_listener
+{
+public:
+    full_listener()
+        : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        ::listen(listener_, 0);
+        socklen_t size = sizeof address;
+        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+        for (int& one : fillers_) {
+            one = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+            ::connect(one, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        }
+    }
+    ~full_listener()
+    {
+        for (const int one : fillers_) {
+            ::close(one);
+        }
+        ::close(listener_);
+    }
+    full_listener(const full_listener&) = delete;
+    full_listener& operator=(const full_listener&) = delete;
+
+    [[nodiscard]] base::endpoint local() const
+    {
+        return internal::bound_endpoint(listener_);
+    }
+
+private:
+    int listener_;
+    std::array<int, 4> fillers_{};
+};
+
+// Guards against a connection that was given up while it was being made and counts
+// against the limit for good, which refused half of a target's calls later on.
+TEST_F(target_client_test, a_call_cancelled_while_connecting_gives_its_socket_back)
+{
+    const full_listener full;
+    target_client client(loop_, full.local(), 1);
+    int ended = 0;
+    const auto count = [&ended](const target_result&) { ++ended; };
+    const target_client::call_number number = client.start({}, count);
+    ASSERT_TRUE(run_until(loop_, [&client] { return client.open_sockets() == 1; }));
+    client.cancel(number);
+    EXPECT_EQ(client.open_sockets(), 0U);
+    client.start({.time_limit = base::duration(50)}, count);
+    ASSERT_TRUE(run_until(loop_, [&client] { return client.open_sockets() == 1; }));
+    ASSERT_TRUE(run_until(loop_, [&ended] { return ended == 2; }));
+    EXPECT_EQ(client.open_sockets(), 0U);
+}
+
 TEST_F(target_client_test, the_cap_on_connections_holds_and_waiting_calls_time_out)
 {
     connect(2);
@@ -298,6 +360,37 @@
     EXPECT_EQ(server_.request_lines, 200);
 }
 
+// Guards against a body without length that counts although its connection was reset, and
+// against one that is refused although the connection ended in order.
+TEST_F(target_client_test, a_body_without_length_is_whole_if_the_connection_ends_in_order)
+{
+    server_.on_request = [this](int peer) {
+        raw_server::write(peer, "HTTP/1.1 200 OK\r\n\r\nbody");
+        server_.close(peer);
+    };
+    const target_result whole = call({.accept_unframed = true});
+    EXPECT_EQ(whole.outcome, call_outcome::ok);
+    EXPECT_EQ(whole.body, "body");
+    server_.on_request = [this](int peer) {
+        raw_server::write(peer, "HTTP/1.1 200 OK\r\n\r\nbody");
+        ASSERT_TRUE(run_until(loop_, [peer] { return raw_server::has_arrived(peer); }));
+        const linger reset{1, 0};
+        ::setsockopt(peer, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+        server_.close(peer);
+    };
+    EXPECT_NE(call({.accept_unframed = true}).outcome, call_outcome::ok);
+}
+
+// Guards against the answer to another request when its header has another name.
+TEST_F(target_client_test, a_response_that_names_another_request_is_refused)
+{
+    respond_with("HTTP/1.1 200 OK\r\nAttempt: b\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(call({.headers = {{"Attempt", "a"}}, .id_header = "Attempt"}).outcome,
+              call_outcome::mismatched);
+    EXPECT_EQ(call({.headers = {{"Attempt", "b"}}, .id_header = "Attempt"}).outcome,
+              call_outcome::ok);
+}
+
 TEST_F(target_client_test, a_long_body_is_refused)
 {
     respond_with("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" +
--- /dev/null
+++ b/curranthoist/platform/caller_exchange.cpp
@@ -0,0 +1,226 @@
+#include "curranthoist/platform/caller_exchange.hpp"
+
+#include "curranthoist/http/status.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+#include <vector>
+
+namespace curranthoist::platform {
+
+namespace {
+
+constexpr std::string_view attempt_header = "Attempt-Id";
+constexpr std::string_view deadline_header = "Deadline-Milliseconds";
+constexpr std::string_view instance_header = "Expected-Instance";
+// The target's signature of a response.
+constexpr std::string_view signature_header = "Server-Stamp";
+// The signatures of a gathered response's parts, and the number of shards left out.
+constexpr std::string_view parts_header = "Part-Stamps";
+constexpr std::string_view missing_header = "Missing-Parts";
+constexpr std::string_view not_run_header = "Not-Executed";
+
+// Headers that concern one connection, and those that this system sets itself.
+constexpr std::array<std::string_view, 12> connection_headers{
+    "Connection",         "Keep-Alive", "Proxy-Connection",
+    "Proxy-Authenticate", "TE",         "Trailer",
+    "Transfer-Encoding",  "Upgrade",    "Proxy-Authorization",
+    "Content-Length",     "Expect",     "Date"};
+
+constexpr double longest_time_ms = 1e9;
+// A call outlives the time that its target was given by this much.
+constexpr base::duration connection_grace{100};
+
+std::optional<base::duration> milliseconds(std::string_view text)
+{
+    double value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc() || !(value >= 0 && value <= longest_time_ms)) {
+        return std::nullopt;
+    }
+    return base::duration(static_cast<std::int64_t>(value));
+}
+
+// Drops the headers of one connection, also those that Connection names.
+http::header_map end_to_end(http::header_map headers)
+{
+    const auto connection = headers.find(std::string_view("Connection"));
+    if (connection != headers.end()) {
+        std::string_view names = connection->second;
+        std::vector<std::string> named;
+        while (!names.empty()) {
+            const std::size_t comma = std::min(names.find(','), names.size());
+            std::string_view one = names.substr(0, comma);
+            while (!one.empty() && one.front() == ' ') {
+                one.remove_prefix(1);
+            }
+            named.emplace_back(one);
+            names.remove_prefix(std::min(comma + 1, names.size()));
+        }
+        for (const std::string& name : named) {
+            headers.erase(name);
+        }
+    }
+    for (const std::string_view name : connection_headers) {
+        if (const auto found = headers.find(name); found != headers.end()) {
+            headers.erase(found);
+        }
+    }
+    return headers;
+}
+
+forwarding::answer_kind kind_of(const http::target_result& result, bool is_signed)
+{
+    using forwarding::answer_kind;
+    if (!result.request_may_have_left) {
+        return result.outcome == http::call_outcome::timed_out ? answer_kind::not_run
+                                                               : answer_kind::unreachable;
+    }
+    if (result.outcome == http::call_outcome::cancelled) {
+        return answer_kind::cancelled;
+    }
+    if (result.outcome != http::call_outcome::ok) {
+        return answer_kind::unknown;
+    }
+    if (result.status == http::status::misdirected) {
+        return answer_kind::wrong_target;
+    }
+    if (result.header(not_run_header)) {
+        return answer_kind::not_run;
+    }
+    // A response without signature or with an encoding is not the target's own.
+    if (!is_signed || result.header("Content-Encoding")) {
+        return answer_kind::unknown;
+    }
+    const bool success =
+        result.status >= http::status::ok && result.status < http::status::first_redirect;
+    return success ? answer_kind::success : answer_kind::failure;
+}
+
+} // namespace
+
+inbound_request decode_caller_request(http::caller_request request)
+{
+    inbound_request result;
+    result.attempt = base::request_id(request.header(attempt_header).value_or(""));
+    result.host = request.header("Host").value_or("");
+    if (const auto text = request.header(deadline_header)) {
+        result.patience = milliseconds(*text);
+    }
+    result.method = std::move(request.method);
+    result.target = std::move(request.target);
+    result.headers = end_to_end(std::move(request.headers));
+    result.body = std::move(request.body);
+    return result;
+}
+
+http::target_call encode_target_call(const inbound_request& request,
+                                     const base::target_id& expected,
+                                     base::duration time_left)
+{
+    http::target_call call;
+    call.method = request.method;
+    call.path = request.target;
+    call.headers = request.headers;
+    call.headers.insert_or_assign(std::string(deadline_header),
+                                  std::to_string(time_left.count()));
+    call.headers.insert_or_assign(std::string(instance_header), expected.str());
+    call.body = request.body;
+    // The request's own limit ends the work. This one frees the connection of a target
+    // that has gone silent.
+    call.time_limit = time_left + connection_grace;
+    call.id_header = attempt_header;
+    call.accept_unframed = true;
+    return call;
+}
+
+target_response decode_target_result(http::target_result result)
+{
+    target_response response;
+    response.signature = result.header(signature_header).value_or("");
+    response.kind = kind_of(result, !response.signature.empty());
+    response.content = std::move(result);
+    return response;
+}
+
+http::caller_response forward_response(const target_response& from)
+{
+    http::caller_response answer;
+    answer.status = from.content.status;
+    answer.headers = end_to_end(from.content.headers);
+    answer.body = from.content.body;
+    return answer;
+}
+
+http::caller_response gathered_response(std::span<const std::string_view> signatures,
+                                        std::size_t missing, std::string body)
+{
+    std::string list;
+    for (const std::string_view one : signatures) {
+        list += list.empty() ? "" : ", ";
+        list += one;
+    }
+    http::caller_response answer;
+    answer.headers = {{"Content-Type", "application/octet-stream"},
+                      {std::string(parts_header), std::move(list)},
+                      {std::string(missing_header), std::to_string(missing)}};
+    answer.body = std::move(body);
+    return answer;
+}
+
+http::caller_response own_response(unsigned status, std::string_view error,
+                                   std::optional<base::duration> retry_after)
+{
+    http::caller_response answer;
+    answer.status = status;
+    answer.body = R"({"error":")" + std::string(error) + R"("})";
+    if (retry_after) {
+        std::array<char, 32> text{};
+        const auto end =
+            std::to_chars(text.data(), text.data() + text.size(), retry_after->seconds(),
+                          std::chars_format::fixed, 3);
+        answer.headers.emplace("Retry-After", std::string(text.data(), end.ptr));
+    }
+    return answer;
+}
+
+bool may_forward_failure(unsigned status)
+{
+    return status != http::status::request_timeout &&
+           status != http::status::misdirected &&
+           status != http::status::too_many_requests &&
+           status != http::status::service_unavailable;
+}
+
+http::target_call encode_health_call(const std::string& path, base::duration limit)
+{
+    http::target_call call;
+    call.method = "GET";
+    call.path = path;
+    call.time_limit = limit;
+    call.accept_unframed = true;
+    return call;
+}
+
+health_answer decode_health_answer(const http::target_result& result)
+{
+    health_answer answer;
+    if (result.outcome != http::call_outcome::ok) {
+        return answer;
+    }
+    answer.healthy = result.status == http::status::ok;
+    answer.instance = base::target_id(result.header("Instance-Id").value_or(""));
+    if (const auto text = result.header("Cold-Milliseconds")) {
+        answer.cold_for = milliseconds(*text).value_or(base::duration());
+    }
+    return answer;
+}
+
+bool is_readiness_path(std::string_view path)
+{
+    return path == "/v1/readiness";
+}
+
+} // namespace curranthoist::platform
--- /dev/null
+++ b/curranthoist/platform/caller_exchange.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "curranthoist/base/duration.hpp"
+#include "curranthoist/base/identifiers.hpp"
+#include "curranthoist/forwarding/answer_kind.hpp"
+#include "curranthoist/http/caller_request.hpp"
+#include "curranthoist/http/caller_response.hpp"
+#include "curranthoist/http/target_call.hpp"
+#include "curranthoist/http/target_result.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace curranthoist::platform {
+
+// What a caller's request says about itself, and what of it goes on to a target.
+struct inbound_request
+{
+    // Names this attempt of the caller; empty if the caller sent none.
+    base::request_id attempt;
+    std::string host;
+    // How long the caller waits; nothing if it does not say.
+    std::optional<base::duration> patience;
+    std::string method;
+    // Path and query as the caller sent them, not decoded.
+    std::string target;
+    // Without the headers that concern one connection only.
+    http::header_map headers;
+    std::string body;
+};
+
+// One target's response.
+struct target_response
+{
+    forwarding::answer_kind kind = forwarding::answer_kind::unknown;
+    // The target's signature of this response; empty if it gave none.
+    std::string signature;
+    http::target_result content;
+};
+
+inbound_request decode_caller_request(http::caller_request request);
+
+// The call that sends the request on to the run of a target named `expected`, which stops
+// work after `time_left`.
+http::target_call encode_target_call(const inbound_request& request,
+                                     const base::target_id& expected,
+                                     base::duration time_left);
+
+// Tells what a call came to, and keeps its response.
+target_response decode_target_result(http::target_result result);
+
+// The caller's response from one target's, unchanged.
+http::caller_response forward_response(const target_response& from);
+// The caller's response that was gathered from the parts with these signatures; `missing`
+// shards are left out.
+http::caller_response gathered_response(std::span<const std::string_view> signatures,
+                                        std::size_t missing, std::string body);
+// A response of this system itself. `retry_after` tells the caller when to come back.
+http::caller_response own_response(unsigned status, std::string_view error,
+                                   std::optional<base::duration> retry_after);
+// True if a target's failure of this status can be passed on: the statuses that promise
+// 'not run' can't, because the target has run the request.
+bool may_forward_failure(unsigned status);
+
+// The request for a target's health, and what its answer says.
+http::target_call encode_health_call(const std::string& path, base::duration limit);
+struct health_answer
+{
+    bool healthy = false;
+    base::target_id instance;
+    // How long it stays cold.
+    base::duration cold_for;
+};
+health_answer decode_health_answer(const http::target_result& result);
+
+// The path at which the load balancer asks for readiness.
+bool is_readiness_path(std::string_view path);
+
+} // namespace curranthoist::platform
--- /dev/null
+++ b/curranthoist/platform/caller_exchange_test.cpp
@@ -0,0 +1,148 @@
+#include "curranthoist/platform/caller_exchange.hpp"
+
+#include <gtest/gtest.h>
+
+#include <array>
+
+namespace curranthoist::platform {
+namespace {
+
+using forwarding::answer_kind;
+
+http::target_result whole(unsigned status, http::header_map headers)
+{
+    http::target_result result;
+    result.status = status;
+    result.headers = std::move(headers);
+    result.request_may_have_left = true;
+    result.connection = 1;
+    return result;
+}
+
+answer_kind kind_of(http::target_result result)
+{
+    return decode_target_result(std::move(result)).kind;
+}
+
+// Guards against a request that reaches the target changed, or with headers of the
+// caller's connection.
+TEST(caller_exchange_test, a_request_goes_on_unchanged_but_for_the_connections_headers)
+{
+    http::caller_request from;
+    from.method = "POST";
+    from.path = "/a b/c";
+    from.target = "/a%20b/c?x=%2f";
+    from.headers = {{"Host", "h"},
+                    {"attempt-id", "9c41"},
+                    {"X-Other", "kept"},
+                    {"Connection", "keep-alive, X-Hop"},
+                    {"X-Hop", "gone"},
+                    {"Transfer-Encoding", "chunked"},
+                    {"Deadline-Milliseconds", "800"}};
+    from.body = "body";
+    const inbound_request request = decode_caller_request(std::move(from));
+    EXPECT_EQ(request.attempt, base::request_id("9c41"));
+    EXPECT_EQ(request.patience, base::duration(800));
+    const http::target_call call =
+        encode_target_call(request, base::target_id("i-1"), base::duration(700));
+    EXPECT_EQ(call.method, "POST");
+    EXPECT_EQ(call.path, "/a%20b/c?x=%2f");
+    EXPECT_EQ(call.body, "body");
+    EXPECT_EQ(call.headers, (http::header_map{{"Host", "h"},
+                                              {"attempt-id", "9c41"},
+                                              {"X-Other", "kept"},
+                                              {"Deadline-Milliseconds", "700"},
+                                              {"Expected-Instance", "i-1"}}));
+}
+
+// Guards against a response that counts although it is not the target's own and whole.
+TEST(caller_exchange_test, only_a_whole_signed_response_counts)
+{
+    const http::header_map is_signed{{"Server-Stamp", "x"}};
+    EXPECT_EQ(kind_of(whole(200, is_signed)), answer_kind::success);
+    EXPECT_EQ(kind_of(whole(500, is_signed)), answer_kind::failure);
+    EXPECT_EQ(kind_of(whole(200, {})), answer_kind::unknown);
+    EXPECT_EQ(kind_of(whole(200, {{"Server-Stamp", "x"}, {"Content-Encoding", "gzip"}})),
+              answer_kind::unknown);
+    http::target_result cut = whole(200, is_signed);
+    cut.outcome = http::call_outcome::truncated;
+    EXPECT_EQ(kind_of(std::move(cut)), answer_kind::unknown);
+    http::target_result crossed = whole(200, is_signed);
+    crossed.outcome = http::call_outcome::mismatched;
+    EXPECT_EQ(kind_of(std::move(crossed)), answer_kind::unknown);
+}
+
+// Guards against 'not run' for a request that may have run: only the target's own word or
+// a request that never left says so.
+TEST(caller_exchange_test, not_run_is_believed_only_when_it_is_certain)
+{
+    EXPECT_EQ(kind_of(whole(503, {{"Not-Executed", "1"}})), answer_kind::not_run);
+    EXPECT_EQ(kind_of(whole(421, {{"Instance-Id", "i-2"}})), answer_kind::wrong_target);
+    EXPECT_EQ(kind_of(whole(503, {{"Server-Stamp", "x"}})), answer_kind::failure);
+    http::target_result broken = whole(0, {});
+    broken.outcome = http::call_outcome::connection_broken;
+    EXPECT_EQ(kind_of(broken), answer_kind::unknown);
+    broken.request_may_have_left = false;
+    EXPECT_EQ(kind_of(broken), answer_kind::unreachable);
+    http::target_result waited;
+    waited.outcome = http::call_outcome::timed_out;
+    EXPECT_EQ(kind_of(waited), answer_kind::not_run);
+}
+
+// Guards against a target's failure whose status would promise that it has not run.
+TEST(caller_exchange_test, a_failure_with_a_promising_status_is_not_passed_on)
+{
+    EXPECT_TRUE(may_forward_failure(500));
+    EXPECT_TRUE(may_forward_failure(404));
+    for (const unsigned status : {408U, 421U, 429U, 503U}) {
+        EXPECT_FALSE(may_forward_failure(status));
+    }
+}
+
+// Guards against a response that loses the target's signature or gains its connection's
+// headers.
+TEST(caller_exchange_test, a_response_is_passed_on_unchanged)
+{
+    http::target_result from = whole(
+        201,
+        {{"Server-Stamp", "x"}, {"Keep-Alive", "timeout=5"}, {"Attempt-Id", "9c41"}});
+    from.body = std::string("a\0b", 3);
+    const http::caller_response answer =
+        forward_response(decode_target_result(std::move(from)));
+    EXPECT_EQ(answer.status, 201U);
+    EXPECT_EQ(answer.body, std::string("a\0b", 3));
+    EXPECT_EQ(answer.headers,
+              (http::header_map{{"Server-Stamp", "x"}, {"Attempt-Id", "9c41"}}));
+}
+
+// Guards against a gathered response that names its parts wrongly.
+TEST(caller_exchange_test, a_gathered_response_names_its_parts_and_what_is_missing)
+{
+    const std::array<std::string_view, 2> signatures{"a.1", "b.2"};
+    const http::caller_response answer = gathered_response(signatures, 3, "body");
+    EXPECT_EQ(answer.headers.at("Part-Stamps"), "a.1, b.2");
+    EXPECT_EQ(answer.headers.at("Missing-Parts"), "3");
+    EXPECT_EQ(answer.body, "body");
+}
+
+// Guards against a time to come back in another unit than seconds.
+TEST(caller_exchange_test, the_time_to_come_back_is_in_seconds)
+{
+    EXPECT_EQ(own_response(503, "x", base::duration(50)).headers.at("Retry-After"),
+              "0.050");
+    EXPECT_FALSE(own_response(502, "x", std::nullopt).headers.contains("Retry-After"));
+}
+
+// Guards against another target's health that is taken for this one's.
+TEST(caller_exchange_test, health_names_the_target_and_its_warm_up)
+{
+    const health_answer health = decode_health_answer(
+        whole(200, {{"Instance-Id", "i-1"}, {"Cold-Milliseconds", "1200"}}));
+    EXPECT_TRUE(health.healthy);
+    EXPECT_EQ(health.instance, base::target_id("i-1"));
+    EXPECT_EQ(health.cold_for, base::duration(1200));
+    EXPECT_FALSE(decode_health_answer(whole(503, {})).healthy);
+}
+
+} // namespace
+} // namespace curranthoist::platform
--- /dev/null
+++ b/curranthoist/platform/configuration_document_test.cpp
@@ -0,0 +1,106 @@
+#include "curranthoist/base/findings_error.hpp"
+#include "curranthoist/platform/configuration_document.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace curranthoist::platform {
+namespace {
+
+std::string document(const std::string& routes)
+{
+    return R"({"version":7,"routes":[)" + routes +
+           R"(],"services":[{"name":"s","health_check_path":"/h","max_connections":26,)"
+           R"("cold_start_s":3.0,"cold_per_s":0.5},{"name":"t"}],)"
+           R"("limits":{"max_body_bytes":1000,"idle_timeout_ms":15000}})";
+}
+
+std::string route(const std::string& rest, const std::string& prefix = "/a/",
+                  const std::string& timeout = "300")
+{
+    return R"({"name":"r","host":"h","path_prefix":")" + prefix +
+           R"(","route_kind":"safe","timeout_ms":)" + timeout +
+           R"(,"target_latency_ms":60,"priority":2,"max_attempts":2,)" + rest + "}";
+}
+
+std::string findings_of(const std::string& text)
+{
+    try {
+        decode_configuration(text);
+    }
+    catch (const base::findings_error& error) {
+        return error.what();
+    }
+    return "";
+}
+
+// Guards against fields that are read into the wrong place or unit.
+TEST(configuration_document_test, reads_routes_services_and_limits)
+{
+    const auto read = decode_configuration(
+        document(route(R"("shard_services":["s","t"],"top_k":5,"min_shard_share":0.75)") +
+                 "," + route(R"("service":"t")", "/b/")));
+    EXPECT_EQ(read.version, 7U);
+    ASSERT_EQ(read.routes.size(), 2U);
+    EXPECT_TRUE(read.routes[0].gathers());
+    EXPECT_EQ(read.routes[0].shards.size(), 2U);
+    EXPECT_EQ(read.routes[0].top_records, 5U);
+    EXPECT_EQ(read.routes[0].repeat, deployment::repeat_rule::repeatable);
+    EXPECT_EQ(read.routes[0].time_limit, base::duration(300));
+    EXPECT_EQ(read.routes[1].services,
+              (std::vector<deployment::weighted_service>{{base::service_id("t"), 1.0}}));
+    const auto& limits = read.services.at(base::service_id("s"));
+    EXPECT_EQ(limits.max_connections, 26U);
+    EXPECT_EQ(limits.cold_time, base::duration(3000));
+    EXPECT_EQ(read.limits.max_body_bytes, 1000U);
+}
+
+// Guards against a kind that this deployment does not know and that is then repeated.
+TEST(configuration_document_test, any_kind_but_the_safe_one_may_run_once_only)
+{
+    std::string text = document(route(R"("service":"s")"));
+    text.replace(text.find("safe"), 4, "keyed");
+    EXPECT_EQ(decode_configuration(text).routes[0].repeat,
+              deployment::repeat_rule::at_most_once);
+}
+
+// Guards against versions that a floating-point number would round.
+TEST(configuration_document_test, a_large_version_is_read_exactly)
+{
+    std::string text = document(route(R"("service":"s")"));
+    text.replace(text.find(":7"), 2, ":9007199254740993");
+    EXPECT_EQ(decode_configuration(text).version, 9007199254740993U);
+}
+
+// Guards against an invalid configuration that is acknowledged.
+TEST(configuration_document_test, refuses_what_is_invalid)
+{
+    EXPECT_NE(findings_of(document(route(R"("service":"s")")).substr(0, 80)), "");
+    EXPECT_NE(findings_of("[]"), "");
+    EXPECT_NE(findings_of(R"({"routes":[],"services":[]})"), "");
+    EXPECT_NE(findings_of(document(route(R"("service":"unknown")"))), "");
+    EXPECT_NE(findings_of(document(route(R"("shard_services":["s","unknown"])"))), "");
+    EXPECT_NE(findings_of(
+                  document(route(R"("service":"s")") + "," + route(R"("service":"t")"))),
+              "");
+    EXPECT_NE(
+        findings_of(document(route(R"("traffic_split":[{"service":"s","weight":0}])"))),
+        "");
+    EXPECT_NE(findings_of(document(route(R"("service":"s")", "/a/", "0"))), "");
+    EXPECT_NE(findings_of(document(route(R"("service":"s")", "a"))), "");
+}
+
+// Guards against a refusal that names one mistake at a time.
+TEST(configuration_document_test, names_every_mistake_with_its_place)
+{
+    const std::string found = findings_of(document(route(R"("service":"x")", "/a/", "0") +
+                                                   "," + route(R"("service":"y")")));
+    EXPECT_NE(found.find("routes[0].timeout_ms"), std::string::npos);
+    EXPECT_NE(found.find("routes[0].service"), std::string::npos);
+    EXPECT_NE(found.find("routes[1].service"), std::string::npos);
+    EXPECT_NE(found.find("routes[1].path_prefix"), std::string::npos);
+}
+
+} // namespace
+} // namespace curranthoist::platform
--- /dev/null
+++ b/curranthoist/platform/node_settings.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "curranthoist/base/duration.hpp"
+#include "curranthoist/base/endpoint.hpp"
+#include "curranthoist/base/identifiers.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace curranthoist::platform {
+
+// What the platform tells one process about its VM, from the settings file. Fields that a
+// role does not need may be absent.
+struct node_settings
+{
+    // The VM's name, unique among the VMs that run now.
+    std::string name;
+    base::zone_id zone;
+    // The VM's own address.
+    std::string address;
+    // Where callers connect (entry processes).
+    std::optional<base::endpoint> callers;
+    // Where the load balancer asks whether the VM takes new connections.
+    std::optional<base::endpoint> readiness;
+    // Where operators connect (control processes).
+    std::optional<base::endpoint> operators;
+    // The first port that is free for messages between the project's own processes.
+    std::uint16_t first_internal_port = 0;
+    // Operators' addresses of some control processes, as far as known when the file was
+    // written. They may be out of date.
+    std::vector<base::endpoint> seeds;
+    // True only when the whole deployment starts for the first time, with empty disks.
+    bool founds_deployment = false;
+    // Empty on a VM without a disk.
+    std::string data_folder;
+    // Where the platform's list of targets is read.
+    std::optional<base::endpoint> list_address;
+    // How far the platform's list may lag behind.
+    base::duration list_lag{1000};
+    // Calls a second that the list accepts from all VMs together.
+    double list_calls_per_s = 1.0;
+    // From SIGTERM to SIGKILL.
+    base::duration stop_limit{6000};
+    // Extra sends to a service's targets, by all VMs together within extra_window: at
+    // most extra_ratio of its requests and extra_slack.
+    double extra_ratio = 0.2;
+    double extra_slack = 0.0;
+    base::duration extra_window{10'000};
+    // Requests that a cold target may get in one second from all VMs together: its own
+    // rate times cold_factor, and cold_slack.
+    double cold_factor = 1.0;
+    double cold_slack = 0.0;
+};
+
+// Reads the settings file whose path the platform leaves in the environment. Throws
+// base::findings_error with every mistake, each with its place `file:line`.
+node_settings read_node_settings();
+// The same for a named file, and for `text`; `file` is the name that findings use.
+node_settings read_node_settings(const std::string& file);
+node_settings parse_node_settings(std::string_view text, const std::string& file);
+
+// The path of the settings file; empty if the environment names none.
+std::string settings_path();
+
+} // namespace curranthoist::platform
--- /dev/null
+++ b/curranthoist/platform/process_shell.hpp
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "curranthoist/base/findings_error.hpp"
+#include "curranthoist/base/logger.hpp"
+#include "curranthoist/platform/node_settings.hpp"
+
+#include <CLI/CLI.hpp>
+#include <ev++.h>
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <string>
+#include <system_error>
+
+namespace curranthoist::platform {
+
+// Name and purpose of a program, for its command line.
+struct program_description
+{
+    std::string name;
+    std::string purpose;
+};
+
+namespace internal {
+
+enum exit_code : int
+{
+    exit_ok = 0,
+    exit_failure = 1,
+    exit_usage = 2,
+    exit_settings = 3,
+    exit_address = 4
+};
+
+// Turns signals into calls: SIGTERM and SIGINT stop the process, SIGHUP reloads.
+template <class Process>
+class signal_handlers
+{
+public:
+    signal_handlers(ev::loop_ref loop, Process& process, std::string file)
+        : process_(process)
+        , file_(std::move(file))
+        , terminate_(loop)
+        , interrupt_(loop)
+        , reload_(loop)
+    {
+        terminate_.set<signal_handlers, &signal_handlers::on_stop>(this);
+        terminate_.start(SIGTERM);
+        interrupt_.set<signal_handlers, &signal_handlers::on_stop>(this);
+        interrupt_.start(SIGINT);
+        reload_.set<signal_handlers, &signal_handlers::on_reload>(this);
+        reload_.start(SIGHUP);
+    }
+
+private:
+    void on_stop(ev::sig& /*watcher*/, int /*events*/) { process_.stop(); }
+    void on_reload(ev::sig& /*watcher*/, int /*events*/)
+    {
+        // Settings with mistakes leave the ones in force.
+        try {
+            process_.reload(read_node_settings(file_));
+        }
+        catch (const base::findings_error& error) {
+            base::logger("settings")
+                .error("event=reload_refused findings=\"" + std::string(error.what()) +
+                       "\"");
+        }
+    }
+
+    Process& process_;
+    std::string file_;
+    ev::sig terminate_;
+    ev::sig interrupt_;
+    ev::sig reload_;
+};
+
+template <class Process>
+int serve(const std::string& file, bool check_only)
+{
+    const node_settings settings = read_node_settings(file);
+    if (check_only) {
+        std::puts("settings are valid");
+        return exit_ok;
+    }
+    // A write to a closed connection reports an error instead.
+    std::signal(SIGPIPE, SIG_IGN);
+    ev::default_loop loop;
+    Process process(loop, settings);
+    const signal_handlers<Process> signals(loop, process, file);
+    loop.run(0);
+    return exit_ok;
+}
+
+} // namespace internal
+
+// The main function of a program that runs on the platform: reads the command line and
+// the settings file, serves until a signal ends it, and returns the exit status.
+// `Process` is built from a loop and node_settings and has stop() and reload().
+template <class Process>
+int run_process(int argc, char** argv, const program_description& program)
+{
+    using namespace internal;
+    CLI::App app(program.purpose, program.name);
+    std::string file;
+    std::string level = "info";
+    bool check_only = false;
+    app.add_option("--settings", file,
+                   "Settings file; by default the one that the environment names");
+    app.add_option("--log-level", level, "debug, info, warn or error");
+    app.add_flag("--check-settings", check_only, "Check the settings and exit");
+    app.set_version_flag("--version", program.name + " " + CURRANTHOIST_VERSION);
+    app.footer("Exit codes:\n"
+               "  0  stopped gracefully, or the settings are valid\n"
+               "  1  unexpected error\n"
+               "  2  wrong command line\n"
+               "  3  the settings or the data folder have mistakes; each is printed\n"
+               "  4  a listen address can't be bound\n"
+               "Signals: SIGTERM and SIGINT stop gracefully, SIGHUP reads the settings.");
+    try {
+        app.parse(argc, argv);
+    }
+    catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? exit_ok : exit_usage;
+    }
+    if (!base::configure_structured_logging(level)) {
+        std::fprintf(stderr, "unknown log level '%s'\n", level.c_str());
+        return exit_usage;
+    }
+    try {
+        return serve<Process>(file.empty() ? settings_path() : file, check_only);
+    }
+    catch (const base::findings_error& error) {
+        std::fputs(error.what(), stderr);
+        return exit_settings;
+    }
+    catch (const std::system_error& error) {
+        std::fprintf(stderr, "%s\n", error.what());
+        return exit_address;
+    }
+    catch (const std::exception& error) {
+        std::fprintf(stderr, "%s\n", error.what());
+        return exit_failure;
+    }
+}
+
+} // namespace curranthoist::platform
--- a/curranthoist/routing/replica_choice_test.cpp
+++ b/curranthoist/routing/replica_choice_test.cpp
@@ -1,7 +1,7 @@
+#include "curranthoist/base/latency_tracker.hpp"
 #include "curranthoist/routing/configured_choice.hpp"
 #include "curranthoist/routing/hedge_budget.hpp"
 #include "curranthoist/routing/hedging.hpp"
-#include "curranthoist/routing/latency_tracker.hpp"
 
 #include <gtest/gtest.h>
 
@@ -110,7 +110,7 @@
 
 TEST(latency_tracker_test, a_few_samples_do_not_start_early_hedges)
 {
-    latency_tracker tracker;
+    base::latency_tracker tracker;
     for (int i = 0; i < 10; ++i) {
         tracker.add(1_ms);
     }
--- a/curranthoist/routing/scatter_context.hpp
+++ b/curranthoist/routing/scatter_context.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "curranthoist/base/latency_tracker.hpp"
 #include "curranthoist/base/random_source.hpp"
 #include "curranthoist/routing/configured_choice.hpp"
 #include "curranthoist/routing/hedge_budget.hpp"
 #include "curranthoist/routing/hedging.hpp"
-#include "curranthoist/routing/latency_tracker.hpp"
 #include "curranthoist/routing/load_table.hpp"
 
 #include <set>
@@ -26,7 +26,7 @@
     Choice choice;
     Hedging hedge;
     hedge_budget budget;
-    latency_tracker latencies;
+    base::latency_tracker latencies;
     load_table loads;
     // Owner VMs without a working peer connection; the shell keeps it. A replica behind
     // one is chosen only if there is no other.
--- a/curranthoist/storage/internal/log_store.hpp
+++ b/curranthoist/storage/internal/log_store.hpp
@@ -131,6 +131,12 @@
     disk.sync_folder();
 }
 
+template <disk Disk>
+std::string log_store<Disk>::identity_file()
+{
+    return internal::identity_name;
+}
+
 template <disk Disk>
 void log_store<Disk>::initialise(Disk& disk, const base::member_id& identity,
                                  std::span<const log_entry> first)
--- a/curranthoist/storage/log_store.hpp
+++ b/curranthoist/storage/log_store.hpp
@@ -32,6 +32,8 @@
     static constexpr std::uint64_t default_segment_bytes =
         std::uint64_t{16} * 1024 * 1024;
 
+    // Name of the file whose presence shows that the folder belongs to a member.
+    static std::string identity_file();
     // Writes the identity of a new member into a folder that has none. `first` are the
     // log entries that every initial member starts with; a replacement starts without.
     // Throws base::findings_error if the folder holds a member's state already.
