Let refusals, failures and lost hedges count against a target

The choice knew latency only, so each refusal cost an extra send until the budget was gone (10,171 refusals, 191 queries failed). A slow target that a hedge beats every time gave no sample at all, and looked ordinary.

Change: the part of refused and failed requests, smoothed, multiplies a target's score; a call that is given up late counts as a slow answer. Both are forgotten with a half-life of 1.5 s. A core member that has just started asks for votes after 150 to 300 ms, since service waits for the first leader after all were killed.

Ruled out: a larger budget; the rule bounds it for all VMs together.

--- a/curranthoist/consensus/internal/replica_log.hpp
+++ b/curranthoist/consensus/internal/replica_log.hpp
@@ -34,6 +34,9 @@
     unwritten_from_ = {};
     synced_index_ = log_.last_index();
     reset_election_deadline(now);
+    if (const auto first = options_.first_election_timeout.count(); first > 0) {
+        election_deadline_ = now + base::duration(random_.between(first / 2, first));
+    }
 }
 
 template <class Rules>
--- a/curranthoist/consensus/replica_options.hpp
+++ b/curranthoist/consensus/replica_options.hpp
@@ -13,6 +13,10 @@
     // An election starts after a random time in this range without a leader.
     base::duration min_election_timeout{500};
     base::duration max_election_timeout{1000};
+    // A member that has just started has heard nobody and may ask for votes sooner, after
+    // a random time between half of this one and all of it: voters that hear a leader
+    // refuse it. 0 gives the first election the same time as all others.
+    base::duration first_election_timeout{};
     base::duration heartbeat_interval{100};
     // The entries' bytes in one append request; one entry may exceed it.
     std::size_t max_append_bytes = std::size_t{256} * 1024;
--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -27,6 +27,8 @@
 // The log of a deployment is short, but each configuration is kept in it as a whole.
 constexpr std::uint64_t entries_per_snapshot = 64;
 constexpr std::uint64_t retained_entries = 32;
+// After all members were killed at once, service waits for this.
+constexpr base::duration first_election_timeout{300};
 
 http::caller_response text_response(unsigned status, const std::string& error)
 {
@@ -163,6 +165,7 @@
     options.seed = std::random_device()();
     options.entries_per_snapshot = entries_per_snapshot;
     options.replica.retained_entries = retained_entries;
+    options.replica.first_election_timeout = first_election_timeout;
     return options;
 }
 
--- a/curranthoist/forwarding/target_directory.cpp
+++ b/curranthoist/forwarding/target_directory.cpp
@@ -26,9 +26,22 @@
 constexpr double most_answer_ratio = 4.0;
 constexpr double least_slowness = 0.5;
 constexpr double most_slowness = 30.0;
+// A call that was given up after this many times the usual time counts as a slow one.
+constexpr std::int64_t late_factor = 2;
 // Without answers a target is taken for ordinary again with this half-life, so that it
 // gets another try.
-constexpr double slowness_half_life_ms = 1500.0;
+constexpr double forget_half_life_ms = 1500.0;
+// Weight of one answer in the smoothed part of failures, and how much worse a target is
+// that fails every request: another copy takes its place until it is forgotten.
+constexpr double failure_weight = 0.25;
+constexpr double failure_penalty = 12.0;
+
+// What is left of a smoothed value after the time since it was taken.
+double kept_part(base::instant since, base::instant now)
+{
+    const auto age = static_cast<double>((now - since).count());
+    return std::pow(0.5, std::max(0.0, age) / forget_half_life_ms);
+}
 // The first probe of an unreachable target comes after this time; the delay doubles.
 constexpr base::duration first_probe{300};
 constexpr base::duration longest_probe_delay{2000};
@@ -106,15 +119,38 @@
 
 double target_directory::slowness_of(const target_state& target, base::instant now)
 {
-    const auto age = static_cast<double>((now - target.slowness_at).count());
-    const double rest = std::pow(0.5, std::max(0.0, age) / slowness_half_life_ms);
-    return 1.0 + (target.slowness - 1.0) * rest;
+    return 1.0 + (target.slowness - 1.0) * kept_part(target.slowness_at, now);
+}
+
+double target_directory::failures_of(const target_state& target, base::instant now)
+{
+    return target.failures * kept_part(target.failures_at, now);
+}
+
+void target_directory::add_slowness(target_state& target, base::duration took,
+                                    base::duration expected, base::instant now)
+{
+    const double ratio =
+        std::min(most_answer_ratio, static_cast<double>(took.count()) /
+                                        static_cast<double>(expected.count()));
+    const double before = slowness_of(target, now);
+    target.slowness = std::clamp(before + (ratio - before) * slowness_weight,
+                                 least_slowness, most_slowness);
+    target.slowness_at = now;
+}
+
+void target_directory::add_failure(target_state& target, bool failed, base::instant now)
+{
+    const double before = failures_of(target, now);
+    target.failures = before + ((failed ? 1.0 : 0.0) - before) * failure_weight;
+    target.failures_at = now;
 }
 
 double target_directory::score(const target_state& target, base::instant now) const
 {
-    double result =
-        static_cast<double>(target.outstanding + 1) * slowness_of(target, now);
+    double result = static_cast<double>(target.outstanding + 1) *
+                    slowness_of(target, now) *
+                    (1.0 + failure_penalty * failures_of(target, now));
     if (target.listed.zone != options_.own_zone) {
         result *= far_factor;
     }
@@ -224,18 +260,20 @@
             suspend(target, now);
             target.strikes = max_strikes;
         }
+        // It would have taken at least this long.
+        if (expected > base::duration() && took > expected * late_factor) {
+            add_slowness(target, took, expected, now);
+        }
+        if (kind == answer_kind::unknown) {
+            add_failure(target, true, now);
+        }
         return;
     }
     target.waiting_since = target.outstanding > 0 ? now : base::instant::max();
     target.strikes = 0;
+    add_failure(target, kind != answer_kind::success, now);
     if (kind == answer_kind::success && expected > base::duration()) {
-        const double ratio =
-            std::min(most_answer_ratio, static_cast<double>(took.count()) /
-                                            static_cast<double>(expected.count()));
-        const double before = slowness_of(target, now);
-        target.slowness = std::clamp(before + (ratio - before) * slowness_weight,
-                                     least_slowness, most_slowness);
-        target.slowness_at = now;
+        add_slowness(target, took, expected, now);
     }
 }
 
--- a/curranthoist/forwarding/target_directory.hpp
+++ b/curranthoist/forwarding/target_directory.hpp
@@ -96,6 +96,9 @@
         // Time of its answers relative to the usual time, smoothed.
         double slowness = 1.0;
         base::instant slowness_at;
+        // Part of the requests that it refused or failed, smoothed.
+        double failures = 0.0;
+        base::instant failures_at;
         bool unreachable = false;
         base::instant probe_at;
         base::duration probe_delay;
@@ -105,6 +108,11 @@
     [[nodiscard]] double score(const target_state& target, base::instant now) const;
     [[nodiscard]] static double slowness_of(const target_state& target,
                                             base::instant now);
+    [[nodiscard]] static double failures_of(const target_state& target,
+                                            base::instant now);
+    static void add_slowness(target_state& target, base::duration took,
+                             base::duration expected, base::instant now);
+    static void add_failure(target_state& target, bool failed, base::instant now);
     static void suspend(target_state& target, base::instant now);
 
     options options_;
--- a/curranthoist/forwarding/target_directory_test.cpp
+++ b/curranthoist/forwarding/target_directory_test.cpp
@@ -138,6 +138,31 @@
     EXPECT_EQ(chosen(), "a");
 }
 
+// Guards against a target that refuses most requests while its copy is idle: each refusal
+// costs one of the few extra sends.
+TEST_F(target_directory_test, a_target_that_refuses_is_avoided_and_tried_again_later)
+{
+    list({target("a"), target("b", "far")});
+    for (int i = 0; i < 3; ++i) {
+        answered("a", answer_kind::not_run, 2);
+    }
+    EXPECT_EQ(chosen(), "b");
+    EXPECT_EQ(chosen("b"), "a");
+    advance(20'000);
+    EXPECT_EQ(chosen(), "a");
+}
+
+// Guards against a slow target that never looks slow, because a hedge always beats it.
+TEST_F(target_directory_test, a_target_that_hedges_beat_counts_as_slow)
+{
+    list({target("a"), target("b", "far")});
+    for (int i = 0; i < 6; ++i) {
+        answered("a", answer_kind::cancelled, 60);
+    }
+    answered("a", answer_kind::success, 20);
+    EXPECT_EQ(chosen(), "b");
+}
+
 // Guards against a restarted target that inherits what was known of the run before it.
 TEST_F(target_directory_test, targets_that_are_no_longer_listed_are_returned)
 {
