Switch to new shards once their targets are warm, and recover sooner

Change: configuration_switch holds a configuration that names new services until each has a usable target, for half of the time until which it must be in force, and changes the whole configuration at once. Gained leadership pushes the state. Connects are given up after 400 ms. A starting front names the rest of its usual start as the time to come back.

--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -187,6 +187,10 @@
     log_.info(std::string(leads ? "event=leadership_gained term="
                                 : "event=leadership_lost term=") +
               term);
+    if (leads) {
+        // What was applied before it led was sent to nobody.
+        sessions_.on_state_change();
+    }
     if (!reader_) {
         return;
     }
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -92,7 +92,7 @@
 void front_sessions::on_state_change()
 {
     changed_ = clock_.now();
-    if (!view_().leader) {
+    if (!view_().leader || state_.changed_at() == base::log_index()) {
         return;
     }
     const auto frame = wire::encode_frame(state_.message());
--- /dev/null
+++ b/curranthoist/forwarding/configuration_switch_test.cpp
@@ -0,0 +1,93 @@
+#include "curranthoist/forwarding/configuration_switch.hpp"
+#include "curranthoist/forwarding/target_directory.hpp"
+
+#include <gtest/gtest.h>
+
+namespace curranthoist::forwarding {
+namespace {
+
+using base::duration;
+using base::instant;
+
+configuration_switch::table_pointer table(std::uint64_t version, const std::string& shard)
+{
+    deployment::configuration from;
+    from.version = version;
+    deployment::route route;
+    route.host = "h";
+    route.path_prefix = "/";
+    route.shards = {base::service_id(shard)};
+    from.routes = {route};
+    return std::make_shared<const deployment::route_table>(from);
+}
+
+deployment::listed_target target(const std::string& service, std::int64_t cold_ms)
+{
+    return {base::target_id(service + "-1"),
+            base::service_id(service),
+            base::zone_id("z"),
+            {"10.0.0.1", 80},
+            false,
+            duration(cold_ms)};
+}
+
+class configuration_switch_test : public ::testing::Test
+{
+protected:
+    std::uint64_t version_in_force()
+    {
+        switch_.update(targets_, now_);
+        return switch_.current() ? switch_.current()->source().version : 0;
+    }
+    void list(std::int64_t cold_ms)
+    {
+        const std::vector<deployment::listed_target> targets{target("old", 0),
+                                                             target("new", cold_ms)};
+        targets_.replace_listing(targets, now_);
+    }
+
+    instant now_{100'000};
+    target_directory targets_{{base::zone_id("z"), duration(800)}};
+    configuration_switch switch_{duration(1500)};
+};
+
+// Guards against queries that fail for half a second because the shards of a new index
+// are still cold, although the old ones answer.
+TEST_F(configuration_switch_test, new_shards_are_used_once_their_targets_are_warm)
+{
+    list(600);
+    switch_.offer(table(1, "old"), now_);
+    EXPECT_EQ(version_in_force(), 1U);
+    switch_.offer(table(2, "new"), now_);
+    EXPECT_EQ(version_in_force(), 1U);
+    EXPECT_EQ(switch_.offered_version(), 2U);
+    now_ = now_ + duration(1000);
+    EXPECT_EQ(version_in_force(), 2U);
+}
+
+// Guards against a configuration that is never in force because its service has no
+// target, and against a limit that each later configuration extends.
+TEST_F(configuration_switch_test, the_limit_counts_from_the_oldest_pending_configuration)
+{
+    list(60'000);
+    switch_.offer(table(1, "old"), now_);
+    EXPECT_EQ(version_in_force(), 1U);
+    switch_.offer(table(2, "new"), now_);
+    now_ = now_ + duration(1000);
+    switch_.offer(table(3, "new"), now_);
+    EXPECT_EQ(version_in_force(), 1U);
+    now_ = now_ + duration(500);
+    EXPECT_EQ(version_in_force(), 3U);
+}
+
+// Guards against a wait for a configuration that sends nothing to other services.
+TEST_F(configuration_switch_test, a_change_without_new_services_is_in_force_at_once)
+{
+    switch_.offer(table(1, "old"), now_);
+    EXPECT_EQ(version_in_force(), 1U);
+    switch_.offer(table(2, "old"), now_);
+    EXPECT_EQ(version_in_force(), 2U);
+}
+
+} // namespace
+} // namespace curranthoist::forwarding
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -4,14 +4,24 @@
 #include "curranthoist/http/status.hpp"
 #include "curranthoist/platform/configuration_document.hpp"
 
+#include <algorithm>
+#include <memory>
 #include <random>
+#include <string>
 #include <utility>
 
 namespace curranthoist::frontd {
 
 namespace {
 
-constexpr double tick_s = 0.1;
+constexpr double tick_s = 0.05;
+// A configuration whose targets are cold waits for half of the time until which it must
+// be in force; the other half is for its way to this VM.
+constexpr std::int64_t configuration_wait_divisor = 2;
+// A process has its configuration and list this long after its start, even if the core
+// started with it.
+constexpr base::duration start_time{800};
+constexpr base::duration least_retry_after{50};
 // The load balancer asks once a second and believes the second miss; then it sends no new
 // connections.
 constexpr base::duration balancer_delay{2500};
@@ -61,7 +71,9 @@
                base::logger("request"),
                {},
                1}
+    , configuration_(settings_.configuration_limit / configuration_wait_divisor)
     , tick_(loop)
+    , started_(clock_.now())
 {
     links_ =
         std::make_unique<core_links>(loop_, base::vm_id(settings_.name), settings_.zone,
@@ -109,20 +121,28 @@
 void front_process::on_state(const received_state& state)
 {
     context_.directory.set_evacuated(state.evacuated, clock_.now());
-    if (state.version == 0 || (table_ && table_->source().version >= state.version)) {
+    if (state.version <= configuration_.offered_version()) {
         return;
     }
     try {
-        table_ = std::make_shared<const deployment::route_table>(
-            platform::decode_configuration(state.document));
-        log_.info(
-            "event=configuration_in_force version=" + std::to_string(state.version) +
-            " routes=" + std::to_string(table_->source().routes.size()));
+        configuration_.offer(std::make_shared<const deployment::route_table>(
+                                 platform::decode_configuration(state.document)),
+                             clock_.now());
     }
     catch (const base::findings_error& error) {
         log_.error("event=configuration_unreadable version=" +
                    std::to_string(state.version) + " findings=\"" + error.what() + "\"");
     }
+    switch_configuration();
+}
+
+void front_process::switch_configuration()
+{
+    if (configuration_.update(context_.directory, clock_.now())) {
+        const deployment::configuration& now = configuration_.current()->source();
+        log_.info("event=configuration_in_force version=" + std::to_string(now.version) +
+                  " routes=" + std::to_string(now.routes.size()));
+    }
 }
 
 void front_process::on_listing(std::vector<deployment::listed_target> targets,
@@ -138,33 +158,27 @@
     // A request that is taken now might outlast the process.
     if (stop_begun_ != base::instant::max() &&
         clock_.now() - stop_begun_ >= balancer_delay) {
-        log_.info("event=request_refused id=" + inbound.attempt.str() +
-                  " reason=\"the process stops\"");
-        answer.respond(platform::own_response(http::status::service_unavailable,
-                                              "not run: this VM is stopping",
-                                              base::duration()));
+        refuse(inbound, answer, "this VM is stopping", base::duration());
         return;
     }
-    if (!table_ || !context_.directory.has_listing()) {
-        log_.info("event=request_refused id=" + inbound.attempt.str() +
-                  " reason=\"no configuration or list yet\"");
-        answer.respond(platform::own_response(http::status::service_unavailable,
-                                              "not run: this VM is starting",
-                                              base::duration(100)));
+    const auto& table = configuration_.current();
+    if (!table || !context_.directory.has_listing()) {
+        const base::duration rest = start_time - (clock_.now() - started_);
+        refuse(inbound, answer, "this VM is starting", std::max(rest, least_retry_after));
         return;
     }
-    const deployment::route* route = table_->find(inbound.host, inbound.target);
+    const deployment::route* route = table->find(inbound.host, inbound.target);
     if (route == nullptr) {
         log_.info("event=request_refused id=" + inbound.attempt.str() +
                   " reason=\"no route\" host=" + inbound.host +
-                  " version=" + std::to_string(table_->source().version));
+                  " version=" + std::to_string(table->source().version));
         answer.respond(
             platform::own_response(http::status::not_found, "no route", std::nullopt));
         return;
     }
     const std::uint64_t number = ++last_task_;
-    auto task = std::make_shared<caller_task>(context_, table_, *route,
-                                              std::move(inbound), std::move(answer));
+    auto task = std::make_shared<caller_task>(context_, table, *route, std::move(inbound),
+                                              std::move(answer));
     tasks_[number] = task;
     task->start([this, number] {
         const auto found = tasks_.find(number);
@@ -173,9 +187,20 @@
     });
 }
 
+void front_process::refuse(const platform::inbound_request& request,
+                           const http::responder& answer, const char* reason,
+                           base::duration retry_after)
+{
+    log_.info("event=request_refused id=" + request.attempt.str() + " reason=\"" +
+              reason + "\" retry_after_ms=" + std::to_string(retry_after.count()));
+    answer.respond(platform::own_response(http::status::service_unavailable,
+                                          std::string("not run: ") + reason,
+                                          retry_after));
+}
+
 bool front_process::is_ready() const
 {
-    return table_ && context_.directory.has_listing() &&
+    return configuration_.current() && context_.directory.has_listing() &&
            stop_begun_ == base::instant::max();
 }
 
@@ -198,13 +223,14 @@
 
 void front_process::probe_targets(base::instant now)
 {
+    if (!configuration_.current()) {
+        return;
+    }
+    const auto& services = configuration_.current()->source().services;
     for (const base::target_id& id : context_.directory.due_probes(now)) {
         const deployment::listed_target* target = context_.directory.find(id);
-        const auto limits = table_
-                                ? table_->source().services.find(target->service)
-                                : std::map<base::service_id,
-                                           deployment::service_limits>::const_iterator();
-        if (!table_ || limits == table_->source().services.end()) {
+        const auto limits = services.find(target->service);
+        if (limits == services.end()) {
             continue;
         }
         http::target_client& client = context_.pool.client(
@@ -234,6 +260,7 @@
     ended_.clear();
     context_.pool.drop_idle();
     probe_targets(now);
+    switch_configuration();
     if (is_ready() != announced_ready_) {
         announced_ready_ = is_ready();
         log_.info(std::string("event=readiness_changed ready=") +
--- a/curranthoist/frontd/front_process.hpp
+++ b/curranthoist/frontd/front_process.hpp
@@ -2,7 +2,7 @@
 
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
-#include "curranthoist/deployment/route_table.hpp"
+#include "curranthoist/forwarding/configuration_switch.hpp"
 #include "curranthoist/frontd/caller_task.hpp"
 #include "curranthoist/frontd/core_links.hpp"
 #include "curranthoist/frontd/task_context.hpp"
@@ -38,6 +38,11 @@
 private:
     [[nodiscard]] core_links::handlers link_handlers();
     void on_state(const received_state& state);
+    // Lets a pending configuration take effect if it may.
+    void switch_configuration();
+    // Answers a request that this process can't take now; it has not run.
+    void refuse(const platform::inbound_request& request, const http::responder& answer,
+                const char* reason, base::duration retry_after);
     void on_listing(std::vector<deployment::listed_target> targets,
                     base::instant read_at);
     void on_request(http::caller_request request, http::responder answer);
@@ -52,7 +57,7 @@
     base::logger log_{"front"};
     base::monotonic_clock clock_;
     task_context context_;
-    std::shared_ptr<const deployment::route_table> table_;
+    forwarding::configuration_switch configuration_;
     std::map<std::uint64_t, std::shared_ptr<caller_task>> tasks_;
     std::uint64_t last_task_ = 0;
     // Ended tasks, dropped outside of their handlers.
@@ -61,6 +66,7 @@
     std::unique_ptr<http::caller_server> callers_;
     std::unique_ptr<http::caller_server> readiness_;
     ev::timer tick_;
+    base::instant started_;
     base::instant stop_begun_ = base::instant::max();
     bool announced_ready_ = false;
 };
--- a/curranthoist/platform/node_settings.cpp
+++ b/curranthoist/platform/node_settings.cpp
@@ -219,6 +219,8 @@
     result.list_lag = values.milliseconds("cloud_api.max_lag_ms", result.list_lag);
     result.list_calls_per_s =
         values.number("cloud_api.rate_per_s", result.list_calls_per_s);
+    result.configuration_limit =
+        values.milliseconds("bounds.config_apply_ms", result.configuration_limit);
     result.stop_limit = values.seconds("bounds.grace_period_s", result.stop_limit);
     result.extra_ratio = values.number("bounds.retry_budget_ratio", result.extra_ratio);
     result.extra_slack = values.number("bounds.retry_budget_slack", result.extra_slack);
--- a/curranthoist/platform/node_settings.hpp
+++ b/curranthoist/platform/node_settings.hpp
@@ -43,6 +43,8 @@
     base::duration list_lag{1000};
     // Calls a second that the list accepts from all VMs together.
     double list_calls_per_s = 1.0;
+    // From the acknowledgement of a configuration until it is in force on every VM.
+    base::duration configuration_limit{3000};
     // From SIGTERM to SIGKILL.
     base::duration stop_limit{6000};
     // Extra sends to a service's targets, by all VMs together within extra_window: at
--- a/curranthoist/wire/peer_dialer.hpp
+++ b/curranthoist/wire/peer_dialer.hpp
@@ -19,9 +19,10 @@
 {
 public:
     static constexpr base::duration min_delay{50};
-    static constexpr base::duration max_delay{1000};
-    // A connection attempt without an answer is given up after this time.
-    static constexpr base::duration connect_limit{1000};
+    static constexpr base::duration max_delay{400};
+    // A connection attempt without an answer is given up after this time: a peer without
+    // power answers nothing, and its kernel forgets the attempt.
+    static constexpr base::duration connect_limit{400};
 
     // Called after each successful connect, before any message arrives.
     using connect_handler = std::function<void()>;
