Drive the platform path with real processes, and repair a member for good

Found by the test that kills the leader after a member lost its disk: no leader for good. The leader dialled the lost member and its successor at one address, and the process there dropped one of the two connections for the other again and again, so the successor had no log; it was promoted all the same, since it lacked fewer than 100 entries; and a voter that lacks the change which made it one can't vote. Now only the successor is dialled, and a core promotes a learner that has the whole log.

Ruled out: an election that never comes up (the survivor asked in vain).

--- a/curranthoist/base/base_test.cpp
+++ b/curranthoist/base/base_test.cpp
@@ -53,6 +53,26 @@
               "parts_total{result=\"ok\"} 2\n");
 }
 
+// Guards against a histogram whose buckets don't add up, which misleads every quantile.
+TEST(counter_registry_test, prints_histograms_with_cumulative_buckets)
+{
+    counter_registry registry;
+    latency_histogram& took = registry.histogram_named("took_ms", "Time", "route=\"r\"");
+    took.add(duration(5));
+    took.add(duration(6));
+    took.add(duration(9000));
+    const std::string text = registry.prometheus_text();
+    EXPECT_NE(text.find("# TYPE took_ms histogram\n"), std::string::npos);
+    EXPECT_NE(text.find("took_ms_bucket{route=\"r\",le=\"5\"} 1\n"), std::string::npos);
+    EXPECT_NE(text.find("took_ms_bucket{route=\"r\",le=\"10\"} 2\n"), std::string::npos);
+    EXPECT_NE(text.find("took_ms_bucket{route=\"r\",le=\"8000\"} 2\n"),
+              std::string::npos);
+    EXPECT_NE(text.find("took_ms_bucket{route=\"r\",le=\"+Inf\"} 3\n"),
+              std::string::npos);
+    EXPECT_NE(text.find("took_ms_sum{route=\"r\"} 9011\n"), std::string::npos);
+    EXPECT_NE(text.find("took_ms_count{route=\"r\"} 3\n"), std::string::npos);
+}
+
 TEST(random_source_test, same_seed_gives_same_sequence)
 {
     random_source a(7);
--- a/curranthoist/base/counter_registry.hpp
+++ b/curranthoist/base/counter_registry.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "curranthoist/base/counter.hpp"
+#include "curranthoist/base/latency_histogram.hpp"
 
 #include <map>
 #include <string>
@@ -24,6 +25,9 @@
     // The same for a value that can fall.
     counter& gauge_named(std::string_view name, std::string_view help,
                          std::string_view labels = {});
+    // The same for durations in milliseconds.
+    latency_histogram& histogram_named(std::string_view name, std::string_view help,
+                                       std::string_view labels = {});
     // Every metric in the Prometheus text format, sorted by name and labels.
     [[nodiscard]] std::string prometheus_text() const;
 
@@ -33,8 +37,11 @@
         std::string help;
         std::string type;
         std::map<std::string, counter, std::less<>> values;
+        std::map<std::string, latency_histogram, std::less<>> histograms;
     };
 
+    family& family_named(std::string_view name, std::string_view help,
+                         std::string_view type);
     counter& named(std::string_view name, std::string_view help, std::string_view labels,
                    std::string_view type);
 
--- a/curranthoist/consensus/peer_links.cpp
+++ b/curranthoist/consensus/peer_links.cpp
@@ -50,14 +50,25 @@
 
 void peer_links::set_members(std::span<const member> members)
 {
+    // A member that lost its disk and its successor share an address, where only the
+    // successor, the later one, can be. Two connections from here to one process would
+    // replace each other there again and again.
+    const auto is_successor = [&](const member& one) {
+        const auto last =
+            std::find_if(members.rbegin(), members.rend(), [&](const member& other) {
+                return other.address == one.address;
+            });
+        return last->id == one.id;
+    };
     const auto keeps = [&](const dialed_peer& peer) {
         return std::any_of(members.begin(), members.end(), [&](const member& one) {
-            return one.id == peer.remote.id && one.address == peer.remote.address;
+            return one.id == peer.remote.id && one.address == peer.remote.address &&
+                   is_successor(one);
         });
     };
     std::erase_if(dialed_, [&](const auto& one) { return !keeps(*one.second); });
     for (const member& one : members) {
-        if (one.id != options_.self && !dialed_.contains(one.id)) {
+        if (one.id != options_.self && !dialed_.contains(one.id) && is_successor(one)) {
             dial(one);
         }
     }
--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -27,6 +27,9 @@
 // The log of a deployment is short, but each configuration is kept in it as a whole.
 constexpr std::uint64_t entries_per_snapshot = 64;
 constexpr std::uint64_t retained_entries = 32;
+// A new voter that lacks the change which made it one can't vote, so it must have the
+// whole log before.
+constexpr std::uint64_t max_promotion_lag = 0;
 // After all members were killed at once, service waits for this.
 constexpr base::duration first_election_timeout{300};
 
@@ -133,8 +136,8 @@
         loop_,
         http::caller_server_options{.listen = *settings_.operators,
                                     .max_body_bytes = max_operator_body_bytes},
-        [this](http::caller_request request, const http::responder& answer) {
-            on_request(std::move(request), answer);
+        [this](const http::caller_request& request, const http::responder& answer) {
+            on_request(request, answer);
         });
     tick_.set<core_process, &core_process::on_tick>(this);
     tick_.start(tick_s, tick_s);
@@ -165,6 +168,7 @@
     options.seed = std::random_device()();
     options.entries_per_snapshot = entries_per_snapshot;
     options.replica.retained_entries = retained_entries;
+    options.replica.max_promotion_lag = max_promotion_lag;
     options.replica.first_election_timeout = first_election_timeout;
     return options;
 }
@@ -243,7 +247,8 @@
     joiner_->ask(addresses);
 }
 
-void core_process::on_request(http::caller_request request, const http::responder& answer)
+void core_process::on_request(const http::caller_request& request,
+                              const http::responder& answer)
 {
     if (request.method == "POST" && request.path == join_client::path) {
         on_join(request, answer);
@@ -251,7 +256,7 @@
     }
     const auto call = platform::decode_operator_call(request.method, request.target);
     if (std::holds_alternative<platform::replace_configuration_call>(call)) {
-        replace_configuration(std::move(request), answer);
+        replace_configuration(request, answer);
     }
     else if (std::holds_alternative<platform::read_configuration_call>(call)) {
         read_configuration(request.target, answer);
@@ -295,7 +300,7 @@
         });
 }
 
-void core_process::replace_configuration(http::caller_request request,
+void core_process::replace_configuration(const http::caller_request& request,
                                          const http::responder& answer)
 {
     std::uint64_t version = 0;
--- a/curranthoist/cored/core_process.hpp
+++ b/curranthoist/cored/core_process.hpp
@@ -56,8 +56,8 @@
     void on_stop_timer(ev::timer& watcher, int events);
     void join_if_needed(base::instant now);
 
-    void on_request(http::caller_request request, const http::responder& answer);
-    void replace_configuration(http::caller_request request,
+    void on_request(const http::caller_request& request, const http::responder& answer);
+    void replace_configuration(const http::caller_request& request,
                                const http::responder& answer);
     void read_configuration(const std::string& path, const http::responder& answer);
     void change_evacuation(const platform::evacuation_call& call, const std::string& path,
--- a/curranthoist/cored/join_client.cpp
+++ b/curranthoist/cored/join_client.cpp
@@ -27,7 +27,8 @@
 
 } // namespace
 
-join_client::join_client(ev::loop_ref loop, base::member_id id, base::endpoint peers)
+join_client::join_client(ev::loop_ref loop, const base::member_id& id,
+                         const base::endpoint& peers)
     : loop_(loop)
     , body_(nlohmann::json{{"id", id.str()}, {"address", peers.str()}}.dump())
 {}
--- a/curranthoist/cored/join_client.hpp
+++ b/curranthoist/cored/join_client.hpp
@@ -22,7 +22,8 @@
 {
 public:
     // `id` and `peers` are this process's identity and where other members reach it.
-    join_client(ev::loop_ref loop, base::member_id id, base::endpoint peers);
+    join_client(ev::loop_ref loop, const base::member_id& id,
+                const base::endpoint& peers);
     join_client(const join_client&) = delete;
     join_client& operator=(const join_client&) = delete;
 
--- a/curranthoist/ctl/main.cpp
+++ b/curranthoist/ctl/main.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/base/endpoint.hpp"
 #include "curranthoist/base/findings_error.hpp"
 #include "curranthoist/ctl/commands.hpp"
+#include "curranthoist/ctl/story.hpp"
 
 #include <CLI/CLI.hpp>
 #include <curl/curl.h>
@@ -25,7 +26,7 @@
   5  no leader answered; an intent that was sent may have been accepted, so send it
      again with the same --intent-id
   6  not confirmed
-  7  explain: no such decision is kept)";
+  7  explain: no such decision is kept; story: no line names the request)";
 
 std::string check_control(const std::string& text)
 {
@@ -43,8 +44,8 @@
 void add_options(CLI::App& app, options& chosen)
 {
     app.add_option("--control", chosen.controls,
-                   "address:port of a control process; repeat it for each of them")
-        ->required()
+                   "address:port of a control process; repeat it for each of them. Every "
+                   "command but story needs it")
         ->check(check_control);
     app.add_option("--operator", chosen.operator_name, "Who decides; needed by apply");
     app.add_option("--intent-id", chosen.intent_id,
@@ -55,6 +56,11 @@
 
 exit_code run(const std::string& name, const options& chosen)
 {
+    if (name == "story") {
+        return curranthoist::ctl::print_story(std::cout, chosen.words, chosen.subject) > 0
+                   ? exit_code::done
+                   : exit_code::not_found;
+    }
     commands all(chosen);
     if (name == "plan") {
         return all.plan();
@@ -91,8 +97,15 @@
     app.add_subcommand("explain", "Show one decision")
         ->add_option("subject", chosen.subject, "A revision or an intent id")
         ->required();
+    auto* story =
+        app.add_subcommand("story", "Print what log files say of one request, in order");
+    story->add_option("request", chosen.subject, "The request's id")->required();
+    story->add_option("logs", chosen.words, "Log files of all VMs")->required();
     try {
         app.parse(argc, argv);
+        if (!story->parsed() && chosen.controls.empty()) {
+            throw CLI::RequiredError("--control");
+        }
         if (apply->parsed() && chosen.operator_name.empty()) {
             throw CLI::RequiredError("--operator");
         }
--- a/curranthoist/forwarding/request_run.cpp
+++ b/curranthoist/forwarding/request_run.cpp
@@ -92,8 +92,7 @@
     const call_id call = ++last_call_;
     shard.attempts.push_back({call, target->id, now});
     shard.hedge_at = now + times_.hedge_after;
-    actions.emplace_back(std::in_place_type<send_action>, call, index, target->id,
-                         reason);
+    actions.emplace_back(send_action{call, index, target->id, reason});
     return true;
 }
 
@@ -251,7 +250,7 @@
         done.answers = {shards_.front().attempts.back().call};
     }
     finished_ = true;
-    actions.emplace_back(std::in_place_type<finish_action>, std::move(done));
+    actions.emplace_back(std::move(done));
 }
 
 void request_run::cancel_open(shard_state& shard, std::vector<run_action>& actions)
@@ -260,7 +259,7 @@
         if (one.open) {
             one.open = false;
             one.kind = answer_kind::cancelled;
-            actions.emplace_back(std::in_place_type<cancel_action>, one.call);
+            actions.emplace_back(cancel_action{one.call});
         }
     }
 }
--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -165,8 +165,16 @@
     sent.response = platform::decode_target_result(std::move(result));
     const forwarding::answer_kind kind = sent.response->kind;
     context_.directory.on_answer(sent.target, kind, took, latency_.mean(), now);
+    context_.metrics
+        .counter_named("curranthoist_target_answers_total", "Targets' answers by kind",
+                       std::string("kind=\"") + forwarding::answer_name(kind) + "\"")
+        .add();
     if (kind == forwarding::answer_kind::success) {
         latency_.add(took);
+        context_.metrics
+            .histogram_named("curranthoist_target_ms",
+                             "From a send to the target's response, successes only")
+            .add(took);
     }
     else {
         context_.log.info("event=answer_rejected id=" + request_.attempt.str() +
@@ -268,6 +276,11 @@
         .counter_named("curranthoist_requests_total", "Callers' requests by outcome",
                        std::string("outcome=\"") + outcome + "\"")
         .add();
+    context_.metrics
+        .histogram_named("curranthoist_request_ms",
+                         "From a request's arrival to its answer, by route",
+                         "route=\"" + route_.name + "\"")
+        .add(took);
     std::string line =
         "event=request_ended id=" + request_.attempt.str() + " route=" + route_.name +
         " version=" + std::to_string(table_->source().version) + " outcome=" + outcome +
--- a/curranthoist/frontd/core_links_test.cpp
+++ b/curranthoist/frontd/core_links_test.cpp
@@ -15,7 +15,7 @@
 base::endpoint free_endpoint()
 {
     const int descriptor = http::internal::open_listening_socket({"127.0.0.1", 0});
-    const base::endpoint result = http::internal::bound_endpoint(descriptor);
+    base::endpoint result = http::internal::bound_endpoint(descriptor);
     ::close(descriptor);
     return result;
 }
@@ -87,7 +87,7 @@
     {
         core_links::handlers on;
         on.on_state = [this](const received_state& state) { states_.push_back(state); };
-        on.on_listing = [this](std::vector<deployment::listed_target> targets,
+        on.on_listing = [this](const std::vector<deployment::listed_target>& targets,
                                base::instant) { listings_.push_back(targets.size()); };
         on.on_listing_check = [](base::instant) {};
         on.on_front_count = [this](std::size_t count) { fronts_ = count; };
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -204,10 +204,32 @@
            stop_begun_ == base::instant::max();
 }
 
+void front_process::set_gauges()
+{
+    base::counter_registry& metrics = context_.metrics;
+    const base::instant now = clock_.now();
+    const auto& table = configuration_.current();
+    metrics.gauge_named("curranthoist_configuration_version", "Version in force")
+        .set(table ? static_cast<std::int64_t>(table->source().version) : 0);
+    metrics.gauge_named("curranthoist_list_age_ms", "Since the last reading of the list")
+        .set(context_.directory.has_listing()
+                 ? (now - context_.directory.read_at()).count()
+                 : -1);
+    metrics.gauge_named("curranthoist_targets_listed", "Targets that the list names")
+        .set(static_cast<std::int64_t>(context_.directory.size()));
+    metrics.gauge_named("curranthoist_target_connections", "Open connections to targets")
+        .set(static_cast<std::int64_t>(context_.pool.open_sockets()));
+    metrics.gauge_named("curranthoist_core_members", "Core members that answer")
+        .set(static_cast<std::int64_t>(links_->live_members()));
+    metrics.gauge_named("curranthoist_open_requests", "Requests without an answer yet")
+        .set(static_cast<std::int64_t>(tasks_.size()));
+}
+
 void front_process::on_readiness(const http::caller_request& request,
                                  const http::responder& answer)
 {
     if (request.path == "/metrics") {
+        set_gauges();
         answer.respond({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
                         .body = context_.metrics.prometheus_text()});
         return;
--- a/curranthoist/frontd/front_process.hpp
+++ b/curranthoist/frontd/front_process.hpp
@@ -47,6 +47,8 @@
                     base::instant read_at);
     void on_request(http::caller_request request, http::responder answer);
     void on_readiness(const http::caller_request& request, const http::responder& answer);
+    // Brings the gauges up to date before they are read.
+    void set_gauges();
     [[nodiscard]] bool is_ready() const;
     void on_tick(ev::timer& watcher, int events);
     void probe_targets(base::instant now);
--- a/curranthoist/frontd/target_pool.cpp
+++ b/curranthoist/frontd/target_pool.cpp
@@ -10,7 +10,7 @@
 {
     auto& found = clients_[id];
     if (found && found->remote() != address) {
-        retired_.push_back(std::move(found));
+        retired_.push_back(std::exchange(found, nullptr));
     }
     if (!found) {
         found = std::make_unique<http::target_client>(loop_, address, max_connections);
--- a/curranthoist/http/target_client_test.cpp
+++ b/curranthoist/http/target_client_test.cpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <arpa/inet.h>
@@ -286,13 +287,15 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        std::ignore = ::bind(listener_, reinterpret_cast<const sockaddr*>(&address),
+                             sizeof address);
         ::listen(listener_, 0);
         socklen_t size = sizeof address;
         ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
         for (int& one : fillers_) {
             one = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-            ::connect(one, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+            std::ignore = ::connect(one, reinterpret_cast<const sockaddr*>(&address),
+                                    sizeof address);
         }
     }
     ~full_listener()
--- a/curranthoist/platform/configuration_document.cpp
+++ b/curranthoist/platform/configuration_document.cpp
@@ -109,8 +109,8 @@
         else {
             result_.version = version->get<std::uint64_t>();
         }
-        each(fields, "services", [this](field_reader one) { add_service(one); });
-        each(fields, "routes", [this](field_reader one) { add_route(one); });
+        each(fields, "services", [this](field_reader& one) { add_service(one); });
+        each(fields, "routes", [this](field_reader& one) { add_route(one); });
         if (const json* limits = fields.find("limits")) {
             if (limits->is_object()) {
                 read_limits(field_reader(*limits, "limits", found_));
@@ -131,14 +131,15 @@
             const std::string place =
                 std::string(name) + "[" + std::to_string(index++) + "]";
             if (one.is_object()) {
-                action(field_reader(one, place, found_));
+                field_reader entry(one, place, found_);
+                action(entry);
             }
             else {
                 found_.add(place, "must be an object");
             }
         }
     }
-    void add_service(field_reader fields)
+    void add_service(field_reader& fields)
     {
         deployment::service_limits limits;
         limits.health_path = "/health";
@@ -153,13 +154,13 @@
     }
     base::service_id known_service(const json& name, const std::string& place)
     {
-        const base::service_id id(name.is_string() ? name.get<std::string>() : "");
+        base::service_id id(name.is_string() ? name.get<std::string>() : "");
         if (!result_.services.contains(id)) {
             found_.add(place, "names the unknown service '" + id.str() + "'");
         }
         return id;
     }
-    void add_route(field_reader fields)
+    void add_route(field_reader& fields)
     {
         deployment::route one;
         one.name = fields.text("name");
--- /dev/null
+++ b/curranthoist/testing/platform/stand_in_platform.cpp
@@ -0,0 +1,170 @@
+#include "curranthoist/testing/platform/stand_in_platform.hpp"
+
+#include "curranthoist/http/status.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace curranthoist::testing {
+
+namespace {
+
+constexpr unsigned failure_status = 500;
+
+} // namespace
+
+stand_in_platform::stand_in_platform(const base::endpoint& list)
+    : wake_(loop_)
+{
+    wake_.set<stand_in_platform, &stand_in_platform::on_wake>(this);
+    wake_.start();
+    list_ = std::make_unique<http::caller_server>(
+        loop_, http::caller_server_options{.listen = list},
+        [this](const http::caller_request&, const http::responder& answer) {
+            on_list(answer);
+        });
+    thread_ = std::thread([this] { loop_.run(0); });
+}
+
+stand_in_platform::~stand_in_platform()
+{
+    on_loop([this] { loop_.break_loop(ev::ALL); });
+    thread_.join();
+}
+
+template <class Action>
+void stand_in_platform::on_loop(Action action)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        action_ = std::move(action);
+    }
+    action_done_ = false;
+    wake_.send();
+    while (!action_done_) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+}
+
+void stand_in_platform::on_wake(ev::async& /*watcher*/, int /*events*/)
+{
+    std::function<void()> action;
+    {
+        const std::lock_guard lock(mutex_);
+        action = std::move(action_);
+        action_ = nullptr;
+    }
+    if (action) {
+        action();
+        action_done_ = true;
+    }
+}
+
+void stand_in_platform::add(const target& added)
+{
+    on_loop([this, added] {
+        auto& one = targets_[added.id];
+        one = std::make_unique<served_target>();
+        one->listed = added;
+        one->server = std::make_unique<http::caller_server>(
+            loop_, http::caller_server_options{.listen = added.address},
+            [this, &at = *one](const http::caller_request& request,
+                               const http::responder& answer) {
+                on_request(at, request, answer);
+            });
+    });
+}
+
+void stand_in_platform::set_state(const std::string& id, const std::string& state)
+{
+    on_loop([this, id, state] { targets_.at(id)->listed.state = state; });
+}
+
+void stand_in_platform::set_behaviour(const std::string& id, target_behaviour behaviour)
+{
+    on_loop([this, id, behaviour] { targets_.at(id)->behaviour = behaviour; });
+}
+
+std::vector<stand_in_platform::run> stand_in_platform::journal() const
+{
+    const std::lock_guard lock(mutex_);
+    return journal_;
+}
+
+std::size_t stand_in_platform::runs_of(const std::string& attempt) const
+{
+    const std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(
+        std::count_if(journal_.begin(), journal_.end(),
+                      [&](const run& one) { return one.attempt == attempt; }));
+}
+
+std::string stand_in_platform::records_of(const std::string& service)
+{
+    std::string records;
+    for (const char first : {'a', 'c', 'b'}) {
+        std::string record = std::string(1, first) + "-" + service;
+        record.resize(16, '.');
+        records += record;
+    }
+    return records;
+}
+
+void stand_in_platform::on_list(const http::responder& answer)
+{
+    nlohmann::json entries = nlohmann::json::array();
+    for (const auto& [id, one] : targets_) {
+        entries.push_back({{"id", id},
+                           {"service", one->listed.service},
+                           {"address", one->listed.address.str()},
+                           {"zone", "z1"},
+                           {"version", "v1"},
+                           {"slots", 2},
+                           {"state", one->listed.state},
+                           {"cold_remaining_ms", one->listed.cold_ms}});
+    }
+    const nlohmann::json page{{"instances", entries}, {"next_page_token", nullptr}};
+    answer.respond({.body = page.dump()});
+}
+
+void stand_in_platform::on_request(served_target& at, const http::caller_request& request,
+                                   const http::responder& answer)
+{
+    const std::string& id = at.listed.id;
+    if (request.path == "/health") {
+        answer.respond({.headers = {{"Instance-Id", id}}, .body = "{}"});
+        return;
+    }
+    if (request.header("Expected-Instance") != id) {
+        answer.respond(
+            {.status = http::status::misdirected, .headers = {{"Instance-Id", id}}});
+        return;
+    }
+    if (at.behaviour == target_behaviour::sheds) {
+        answer.respond({.status = http::status::service_unavailable,
+                        .headers = {{"Not-Executed", "1"}}});
+        return;
+    }
+    const std::string attempt = request.header("Attempt-Id").value_or("");
+    {
+        const std::lock_guard lock(mutex_);
+        journal_.push_back({id, attempt, request.method, request.target, request.body});
+    }
+    const bool fails = at.behaviour == target_behaviour::fails;
+    if (at.behaviour == target_behaviour::loses_answers) {
+        answer.drop();
+    }
+    else if (at.behaviour == target_behaviour::hangs) {
+        at.kept.push_back(answer);
+    }
+    else {
+        answer.respond(
+            {.status = fails ? failure_status : http::status::ok,
+             .headers = {{"Server-Stamp", id + "." + attempt}, {"Attempt-Id", attempt}},
+             .body = fails ? "failed" : records_of(at.listed.service)});
+    }
+}
+
+} // namespace curranthoist::testing
