--- a/curranthoist/base/latency_histogram.cpp
+++ b/curranthoist/base/latency_histogram.cpp
@@ -15,20 +15,26 @@
 std::string latency_histogram::prometheus_lines(std::string_view name,
                                                 std::string_view labels) const
 {
-    const std::string base(name);
-    const std::string inner = labels.empty() ? "" : std::string(labels) + ",";
-    const std::string braces = labels.empty() ? "" : "{" + std::string(labels) + "}";
+    std::string inner(labels);
+    inner.append(labels.empty() ? "" : ",");
+    std::string braces;
+    if (!labels.empty()) {
+        braces.append("{").append(labels).append("}");
+    }
     std::string text;
     std::uint64_t total = 0;
     for (std::size_t i = 0; i < counts_.size(); ++i) {
         total += counts_.at(i);
         const std::string bound =
             i < bounds.size() ? std::to_string(bounds.at(i)) : "+Inf";
-        text += base + "_bucket{" + inner + "le=\"" + bound + "\"} " +
-                std::to_string(total) + "\n";
+        text.append(name).append("_bucket{").append(inner);
+        text.append("le=\"").append(bound).append("\"} ");
+        text.append(std::to_string(total)).append("\n");
     }
-    text += base + "_sum" + braces + " " + std::to_string(sum_ms_) + "\n";
-    text += base + "_count" + braces + " " + std::to_string(total) + "\n";
+    text.append(name).append("_sum").append(braces).append(" ");
+    text.append(std::to_string(sum_ms_)).append("\n");
+    text.append(name).append("_count").append(braces).append(" ");
+    text.append(std::to_string(total)).append("\n");
     return text;
 }
 
--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -113,6 +113,7 @@
     const std::size_t connections =
         limits == services.end() ? 1 : limits->second.max_connections;
     target_send& sent = sends_[action.call];
+    sent.shard = action.shard;
     sent.target = action.target;
     sent.sent = now;
     context_.directory.on_sent(action.target, now);
@@ -264,6 +265,30 @@
     end(forwarding::outcome_name(action.outcome), code, action.missing);
 }
 
+std::string caller_task::targets_without_answer() const
+{
+    // Bounds the line when a whole zone is gone.
+    constexpr std::size_t most_named = 6;
+    std::map<std::size_t, const target_send*> last;
+    for (const auto& [call, sent] : sends_) {
+        const target_send*& known = last[sent.shard];
+        const bool answered = known != nullptr && known->response &&
+                              known->response->kind == forwarding::answer_kind::success;
+        known = answered ? known : &sent;
+    }
+    std::string text;
+    std::size_t named = 0;
+    for (const auto& [shard, sent] : last) {
+        const bool answered =
+            sent->response && sent->response->kind == forwarding::answer_kind::success;
+        if (!answered && named++ < most_named) {
+            text += (text.empty() ? "" : ",") + run_->service_of(shard).str() + "@" +
+                    sent->target.str();
+        }
+    }
+    return text;
+}
+
 void caller_task::end(const char* outcome, unsigned status, std::size_t missing)
 {
     if (ended_) {
@@ -287,6 +312,9 @@
         " status=" + std::to_string(status) + " took_ms=" + std::to_string(took.count()) +
         " sends=" + std::to_string(sends_.size()) + " hedges=" + std::to_string(hedges_) +
         " retries=" + std::to_string(retries_) + " missing=" + std::to_string(missing);
+    if (route_.gathers() && missing > 0) {
+        line += " without=" + targets_without_answer();
+    }
     if (!route_.gathers() && !sends_.empty()) {
         line += " target=" + sends_.rbegin()->second.target.str();
     }
--- a/curranthoist/frontd/caller_task.hpp
+++ b/curranthoist/frontd/caller_task.hpp
@@ -46,6 +46,7 @@
 private:
     struct target_send
     {
+        std::size_t shard = 0;
         base::target_id target;
         http::target_client::call_number number = 0;
         base::instant sent;
@@ -64,6 +65,8 @@
     void on_timer(ev::timer& watcher, int events);
     void schedule();
     void end(const char* outcome, unsigned status, std::size_t missing);
+    // The last target of each shard without a successful answer, for the log.
+    [[nodiscard]] std::string targets_without_answer() const;
     [[nodiscard]] http::caller_response gather(const forwarding::finish_action& action);
 
     task_context& context_;
--- a/curranthoist/http/internal/target_connection.hpp
+++ b/curranthoist/http/internal/target_connection.hpp
@@ -19,12 +19,15 @@
 {
     explicit target_connection(ev::loop_ref loop)
         : watcher(loop)
+        , connect_timer(loop)
     {}
     target_connection(const target_connection&) = delete;
     target_connection& operator=(const target_connection&) = delete;
 
     int descriptor = -1;
     ev::io watcher;
+    // Runs until it is connected.
+    ev::timer connect_timer;
     // The client's number of this connection.
     std::uint64_t number = 0;
     bool connected = false;
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -231,6 +231,8 @@
     opened->number = ++last_connection_;
     opened->watcher.set<target_client, &target_client::on_socket_event>(this);
     opened->watcher.start(descriptor, ev::WRITE);
+    opened->connect_timer.set<target_client, &target_client::on_connect_limit>(this);
+    opened->connect_timer.start(connect_limit.seconds());
     target_connection& result = *opened;
     connections_[descriptor] = std::move(opened);
     peak_sockets_ = std::max(peak_sockets_, connections_.size());
@@ -306,9 +308,22 @@
         return;
     }
     connection.connected = true;
+    connection.connect_timer.stop();
     write(connection);
 }
 
+void target_client::on_connect_limit(ev::timer& watcher, int /*events*/)
+{
+    const auto found =
+        std::find_if(connections_.begin(), connections_.end(), [&](const auto& one) {
+            return &one.second->connect_timer == &watcher;
+        });
+    if (found != connections_.end() && found->second->call != nullptr) {
+        end_call(found->second->call->number, call_outcome::could_not_connect);
+        deliver_results();
+    }
+}
+
 void target_client::write(target_connection& connection)
 {
     running_call& call = *connection.call;
--- a/curranthoist/http/target_client.hpp
+++ b/curranthoist/http/target_client.hpp
@@ -45,6 +45,11 @@
     // (number 0). It must not start or cancel a call.
     using socket_handler = std::function<void(call_number call, bool opened)>;
 
+    // A connection that is not made within this time is given up: nothing has been sent,
+    // so the call can go elsewhere. A handshake takes a few milliseconds; a target
+    // without power answers nothing.
+    static constexpr base::duration connect_limit{250};
+
     // Has at most `max_connections` sockets open at any time. Calls beyond that number
     // wait, in order, within their time limits.
     target_client(ev::loop_ref loop, base::endpoint remote, std::size_t max_connections);
@@ -88,6 +93,7 @@
 
     void on_socket_event(ev::io& watcher, int events);
     void on_connected(internal::target_connection& connection);
+    void on_connect_limit(ev::timer& watcher, int events);
     void write(internal::target_connection& connection);
     void read(internal::target_connection& connection);
     void end_connection(internal::target_connection& connection, bool in_order);
--- a/curranthoist/http/target_client_test.cpp
+++ b/curranthoist/http/target_client_test.cpp
@@ -336,6 +336,22 @@
     EXPECT_EQ(client.open_sockets(), 0U);
 }
 
+// Guards against a request that waits for a target without power until its deadline,
+// though nothing was sent and another target could take it.
+TEST_F(target_client_test, a_connection_that_is_not_made_is_given_up_early)
+{
+    const full_listener full;
+    target_client client(loop_, full.local(), 1);
+    std::optional<target_result> ended;
+    client.start({.time_limit = base::duration(4000)},
+                 [&ended](target_result result) { ended = std::move(result); });
+    ASSERT_TRUE(run_until(loop_, [&ended] { return ended.has_value(); }));
+    EXPECT_EQ(ended->outcome, call_outcome::could_not_connect);
+    EXPECT_FALSE(ended->request_may_have_left);
+    EXPECT_LT(ended->elapsed, base::duration(1000));
+    EXPECT_EQ(client.open_sockets(), 0U);
+}
+
 TEST_F(target_client_test, the_cap_on_connections_holds_and_waiting_calls_time_out)
 {
     connect(2);
