Make every VM with a disk a member, and pack the configuration

Two a zone need a place on VMs without a disk, which may be all the seeds that a process knows.

Change: the first seed names one founder; a core process without a disk observes. A founded log takes no orders before it has three members. The session with the core moves to coreclient/, which observers use too. The configuration is packed with zlib in the log and on the wire, and a member that does not lead sends it only to a front that has lacked it for 250 ms.

Ruled out: three seeds as founders (a seed may have no disk); a count of members in the settings (the platform gives none).

--- a/curranthoist/frontd/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -1,12 +1,14 @@
-#include "curranthoist/frontd/core_links.hpp"
+#include "curranthoist/coreclient/core_links.hpp"
 
 #include "curranthoist/base/wall_clock.hpp"
+#include "curranthoist/wire/packed_text.hpp"
 
 #include <algorithm>
+#include <span>
 #include <tuple>
 #include <utility>
 
-namespace curranthoist::frontd {
+namespace curranthoist::coreclient {
 
 struct core_links::link
 {
@@ -18,13 +20,14 @@
 };
 
 core_links::core_links(ev::loop_ref loop, base::vm_id self, base::zone_id zone,
-                       std::vector<base::endpoint> seeds, handlers on)
+                       std::vector<base::endpoint> seeds, handlers on, bool observes)
     : loop_(loop)
     , self_(std::move(self))
     , zone_(std::move(zone))
     , incarnation_(static_cast<std::uint64_t>(base::wall_clock().now().count()))
     , seeds_(std::move(seeds))
     , on_(std::move(on))
+    , observes_(observes)
     , tick_(loop)
 {
     tick_.set<core_links, &core_links::on_tick>(this);
@@ -58,6 +61,12 @@
                       [](const auto& one) { return one.second->answering; }));
 }
 
+std::optional<base::endpoint> core_links::leader() const
+{
+    const bool known = !members_.empty() && clock_.now() - leader_heard_ <= leader_limit;
+    return known ? std::optional(leader_) : std::nullopt;
+}
+
 void core_links::dial_missing()
 {
     std::set<base::endpoint> wanted = members_;
@@ -126,6 +135,7 @@
     report.state_index = state_index_;
     report.listing_term = listing_term_;
     report.listing_sequence = listing_sequence_;
+    report.observes = observes_;
     to.dialer->send(report);
 }
 
@@ -164,6 +174,7 @@
         rumoured_.insert(members.begin(), members.end());
         return;
     }
+    leader_ = from.address;
     leader_heard_ = clock_.now();
     rumoured_.clear();
     if (!members.empty() && members != members_) {
@@ -171,7 +182,9 @@
         log_.info("event=core_members_changed members=" +
                   std::to_string(members_.size()) + " leader=" + from.address.str());
     }
-    on_.on_front_count(report.fronts());
+    if (on_.on_front_count) {
+        on_.on_front_count(report.fronts());
+    }
 }
 
 void core_links::on_snapshot(const link& from, const wire::deployment_snapshot& snapshot)
@@ -184,7 +197,13 @@
     state.index = snapshot.index();
     state.version = snapshot.version();
     if (snapshot.document() != nullptr) {
-        state.document.assign(snapshot.document()->begin(), snapshot.document()->end());
+        auto text = wire::unpack_text(
+            std::span(snapshot.document()->data(), snapshot.document()->size()));
+        if (!text && state.version > 0) {
+            log_.error("event=document_unreadable member=" + from.address.str() +
+                       " version=" + std::to_string(state.version));
+        }
+        state.document = std::move(text).value_or("");
     }
     if (snapshot.evacuated_zones() != nullptr) {
         for (const auto* zone : *snapshot.evacuated_zones()) {
@@ -193,7 +212,9 @@
     }
     log_.info("event=state_received member=" + from.address.str() + " index=" +
               std::to_string(state.index) + " version=" + std::to_string(state.version));
-    on_.on_state(std::move(state));
+    if (on_.on_state) {
+        on_.on_state(std::move(state));
+    }
 }
 
 void core_links::on_listing(const link& from, const wire::target_listing& listing)
@@ -240,4 +261,4 @@
     }
 }
 
-} // namespace curranthoist::frontd
+} // namespace curranthoist::coreclient
--- a/curranthoist/frontd/core_links.hpp
+++ b/curranthoist/coreclient/core_links.hpp
@@ -13,11 +13,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
-namespace curranthoist::frontd {
+namespace curranthoist::coreclient {
 
 // The operators' state as a core process sent it.
 struct received_state
@@ -29,8 +30,9 @@
     std::set<base::zone_id> evacuated;
 };
 
-// A front process's connections to every member of the core. It reports what it holds and
-// passes on what is newer; the members it learns about replace the seeds.
+// A process's connections to every member of the core, from a front or an observer. It
+// reports what it holds and passes on what is newer; the members it learns about replace
+// the seeds.
 class core_links
 {
 public:
@@ -55,14 +57,20 @@
     // A member that has not answered a report for this time gets a new connection.
     static constexpr base::duration silence_limit{1500};
 
+    // `observes` is true for a process that serves no callers.
     core_links(ev::loop_ref loop, base::vm_id self, base::zone_id zone,
-               std::vector<base::endpoint> seeds, handlers on);
+               std::vector<base::endpoint> seeds, handlers on, bool observes = false);
     ~core_links();
     core_links(const core_links&) = delete;
     core_links& operator=(const core_links&) = delete;
 
     // Addresses to try besides the members that are known.
     void set_seeds(std::vector<base::endpoint> seeds);
+    // Where the member listens that said last that it leads; nothing if none did within
+    // leader_limit.
+    [[nodiscard]] std::optional<base::endpoint> leader() const;
+    // The members by the last leader.
+    [[nodiscard]] const std::set<base::endpoint>& members() const { return members_; }
     // Members that have answered a report within silence_limit.
     [[nodiscard]] std::size_t live_members() const;
 
@@ -86,10 +94,12 @@
     std::vector<base::endpoint> seeds_;
     // The members by the last leader that answered, and when it did.
     std::set<base::endpoint> members_;
+    base::endpoint leader_;
     base::instant leader_heard_;
     // Members that others than the leader have named since then.
     std::set<base::endpoint> rumoured_;
     handlers on_;
+    bool observes_;
     base::logger log_{"core-links"};
     base::monotonic_clock clock_;
     std::map<base::endpoint, std::unique_ptr<link>> links_;
@@ -100,4 +110,4 @@
     std::uint64_t listing_sequence_ = 0;
 };
 
-} // namespace curranthoist::frontd
+} // namespace curranthoist::coreclient
--- a/curranthoist/frontd/core_links_test.cpp
+++ b/curranthoist/coreclient/core_links_test.cpp
@@ -1,4 +1,4 @@
-#include "curranthoist/frontd/core_links.hpp"
+#include "curranthoist/coreclient/core_links.hpp"
 #include "curranthoist/http/internal/listening_socket.hpp"
 #include "curranthoist/http/internal/raw_peer.hpp"
 #include "curranthoist/wire/peer_listener.hpp"
@@ -7,7 +7,7 @@
 
 #include <optional>
 
-namespace curranthoist::frontd {
+namespace curranthoist::coreclient {
 namespace {
 
 using http::internal::run_until;
@@ -180,4 +180,4 @@
 }
 
 } // namespace
-} // namespace curranthoist::frontd
+} // namespace curranthoist::coreclient
--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -3,6 +3,8 @@
 #include "curranthoist/base/findings_error.hpp"
 #include "curranthoist/base/wall_clock.hpp"
 #include "curranthoist/consensus/membership.hpp"
+#include "curranthoist/cored/founder_choice.hpp"
+#include "curranthoist/cored/founding_api.hpp"
 #include "curranthoist/http/status.hpp"
 #include "curranthoist/platform/configuration_document.hpp"
 
@@ -18,9 +20,11 @@
 
 // Longer than a configuration with several thousand routes.
 constexpr std::size_t max_operator_body_bytes = std::size_t{6} * 1024 * 1024;
-constexpr double tick_s = 0.2;
+constexpr double tick_s = 0.1;
 // Without a leader or a vote for this time, it asks to be taken in. Elections take less.
 constexpr base::duration join_after{1500};
+// A founded log takes orders once it has enough members, or after this time without them.
+constexpr base::duration gathering_limit{5000};
 // Leadership is handed over within this time, or the process stops without.
 constexpr base::duration handover_limit{1000};
 constexpr double handover_poll_s = 0.02;
@@ -66,33 +70,31 @@
 
 } // namespace
 
+bool core_process::has_identity(const platform::node_settings& settings)
+{
+    return std::filesystem::exists(
+        std::filesystem::path(settings.data_folder) /
+        storage::log_store<storage::posix_disk>::identity_file());
+}
+
 storage::posix_disk& core_process::prepare(storage::posix_disk& disk,
-                                           const platform::node_settings& settings)
+                                           const platform::node_settings& settings,
+                                           const base::endpoint& founder)
 {
     using store_type = storage::log_store<storage::posix_disk>;
-    const auto names = disk.list();
-    if (std::find(names.begin(), names.end(), store_type::identity_file()) !=
-        names.end()) {
+    if (has_identity(settings)) {
         return disk;
     }
     const base::logger log("core");
-    std::vector<consensus::member> founders;
-    bool is_founder = false;
-    for (const base::endpoint& seed : settings.seeds) {
-        founders.push_back({base::member_id(seed.address),
-                            {seed.address, settings.first_internal_port},
-                            consensus::member_role::voter});
-        is_founder = is_founder || seed.address == settings.address;
-    }
-    if (settings.founds_deployment && is_founder) {
-        log.info("event=log_founded member=" + settings.address +
-                 " founders=" + std::to_string(founders.size()));
-        const std::vector<storage::log_entry> first{
-            consensus::first_log_entry(consensus::membership(std::move(founders)))};
-        store_type::initialise(disk, base::member_id(settings.address), first);
+    const base::member_id id(settings.address + "-" + random_suffix());
+    const base::endpoint own{settings.address, settings.first_internal_port};
+    if (founder == own) {
+        log.info("event=log_founded member=" + id.str());
+        const std::vector<storage::log_entry> first{consensus::first_log_entry(
+            consensus::membership({{id, own, consensus::member_role::voter}}))};
+        store_type::initialise(disk, id, first);
     }
     else {
-        const base::member_id id(settings.address + "-" + random_suffix());
         log.info("event=identity_created member=" + id.str() +
                  " reason=\"the data folder is empty\"");
         store_type::initialise(disk, id, {});
@@ -100,17 +102,21 @@
     return disk;
 }
 
-core_process::core_process(ev::loop_ref loop, platform::node_settings settings)
+core_process::core_process(ev::loop_ref loop, platform::node_settings settings,
+                           founder_choice& choice, base::endpoint founder)
     : loop_(loop)
     , settings_(std::move(settings))
+    , choice_(choice)
+    , founder_(std::move(founder))
     , disk_(created(settings_.data_folder))
-    , store_(prepare(disk_, settings_))
+    , store_(prepare(disk_, settings_, founder_))
     , sessions_(state_, [this] { return view(); })
     , host_(loop_, store_, state_, host_options(),
             [this](std::unique_ptr<consensus::peer_session> session,
                    const wire::hello& hello) {
                 sessions_.on_session(std::move(session), hello);
             })
+    , started_(clock_.now())
     , tick_(loop_)
     , stop_timer_(loop_)
 {
@@ -243,6 +249,9 @@
     for (const consensus::member& one : status.members.members()) {
         addresses.insert(operators_of(one.address));
     }
+    if (!founder_.address.empty()) {
+        addresses.insert(operators_of(founder_));
+    }
     addresses.erase(*settings_.operators);
     joiner_->ask(addresses);
 }
@@ -254,6 +263,12 @@
         on_join(request, answer);
         return;
     }
+    if (request.path == founding_api::path) {
+        // Whoever asks now comes after the log was founded.
+        choice_.settle(founder_.address.empty() ? own_peers() : founder_);
+        founding_api::answer_request(choice_, request, answer, clock_.now());
+        return;
+    }
     const auto call = platform::decode_operator_call(request.method, request.target);
     if (std::holds_alternative<platform::replace_configuration_call>(call)) {
         replace_configuration(request, answer);
@@ -284,9 +299,26 @@
     answer.respond(std::move(response));
 }
 
+bool core_process::is_gathering() const
+{
+    if (founder_.address.empty() || clock_.now() - started_ > gathering_limit) {
+        return false;
+    }
+    const auto members = host_.status().members;
+    const auto voters = std::count_if(
+        members.members().begin(), members.members().end(),
+        [](const auto& one) { return one.role == consensus::member_role::voter; });
+    return static_cast<std::size_t>(voters) < membership_keeper::least_voters;
+}
+
 void core_process::propose(std::vector<std::uint8_t> command, const std::string& what,
                            const http::responder& answer)
 {
+    if (is_gathering()) {
+        answer.respond(text_response(http::status::service_unavailable,
+                                     "the log has too few members yet"));
+        return;
+    }
     host_.propose(
         std::move(command),
         [this, what, answer](consensus::proposal_outcome outcome, base::log_index index) {
--- a/curranthoist/cored/core_process.hpp
+++ b/curranthoist/cored/core_process.hpp
@@ -19,22 +19,29 @@
 
 namespace curranthoist::cored {
 
+class founder_choice;
+
 // One member of the core: the replicated log with the operators' state, their HTTP
 // server, the sessions of the front processes and, on the leader, the reader of the
 // platform's list. All of it runs on one loop.
 //
-// It finds its place by itself: with an empty data folder it founds the log if the
-// deployment starts for the first time and it is one of the seeds, and otherwise asks the
-// members to take it in under a new identity.
+// It finds its place by itself: with an empty data folder it founds the log if it was
+// named the founder, and otherwise asks the members to take it in under a new identity.
 class core_process
 {
 public:
     // Throws base::findings_error if settings that it needs are missing, and
     // std::system_error if an address can't be bound.
-    core_process(ev::loop_ref loop, platform::node_settings settings);
+    // `founder` is the founder's address for other members at the first start, and empty
+    // afterwards. `choice` answers other processes of a first start and must outlive it.
+    core_process(ev::loop_ref loop, platform::node_settings settings,
+                 founder_choice& choice, base::endpoint founder);
     core_process(const core_process&) = delete;
     core_process& operator=(const core_process&) = delete;
 
+    // True if the data folder belongs to a member already.
+    static bool has_identity(const platform::node_settings& settings);
+
     // Begins a graceful stop: hands leadership over if it has it, and ends the loop.
     void stop();
     // Takes over settings that may change while it runs: the seeds.
@@ -44,7 +51,8 @@
     using host_type = consensus::replica_host<deployment::deployment_state>;
 
     static storage::posix_disk& prepare(storage::posix_disk& disk,
-                                        const platform::node_settings& settings);
+                                        const platform::node_settings& settings,
+                                        const base::endpoint& founder);
     [[nodiscard]] consensus::host_options host_options() const;
     [[nodiscard]] base::endpoint own_peers() const;
     [[nodiscard]] front_sessions::core_view view() const;
@@ -65,6 +73,8 @@
     void on_join(const http::caller_request& request, const http::responder& answer);
     // Sends the request to the leader, or answers 503 if none is known.
     void redirect(const std::string& path, const http::responder& answer);
+    // True while a log that was just founded has too few members to survive a loss.
+    [[nodiscard]] bool is_gathering() const;
     void propose(std::vector<std::uint8_t> command, const std::string& what,
                  const http::responder& answer);
 
@@ -72,6 +82,8 @@
     platform::node_settings settings_;
     base::logger log_{"core"};
     base::monotonic_clock clock_;
+    founder_choice& choice_;
+    base::endpoint founder_;
     storage::posix_disk disk_;
     storage::log_store<storage::posix_disk> store_;
     deployment::deployment_state state_;
@@ -81,6 +93,7 @@
     std::unique_ptr<join_client> joiner_;
     std::unique_ptr<target_list_reader> reader_;
     std::unique_ptr<http::caller_server> server_;
+    base::instant started_;
     ev::timer tick_;
     ev::timer stop_timer_;
     base::instant stop_until_;
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -64,15 +64,23 @@
     const core_view view = view_();
     from.last_report = now;
     from.state_index = std::max(from.state_index, report.state_index());
-    // A restarted front reports index 0 on a session of its own.
-    const bool lacks_state = report.state_index() < state_.changed_at().value();
-    if (lacks_state &&
-        (view.leader || !from.reported || now - changed_ >= follower_delay)) {
+    const bool lacks_state =
+        !report.observes() && report.state_index() < state_.changed_at().value();
+    if (!lacks_state) {
+        from.lacks_since = base::instant::max();
+    }
+    else if (from.lacks_since == base::instant::max()) {
+        from.lacks_since = now;
+    }
+    // The others leave a new front to the leader first, or it would get the same state
+    // from each member.
+    if (lacks_state && (view.leader || now - from.lacks_since >= follower_delay)) {
         send_state(from);
     }
-    from.reported = true;
-    if (listing_ && (report.listing_term() != listing_->term ||
-                     report.listing_sequence() != listing_->sequence)) {
+    from.observes = report.observes();
+    if (listing_ && !from.observes &&
+        (report.listing_term() != listing_->term ||
+         report.listing_sequence() != listing_->sequence)) {
         from.session->send_frame(listing_frame());
     }
     wire::core_report_message answer;
@@ -91,13 +99,14 @@
 
 void front_sessions::on_state_change()
 {
-    changed_ = clock_.now();
     if (!view_().leader || state_.changed_at() == base::log_index()) {
         return;
     }
     const auto frame = wire::encode_frame(state_.message());
     for (auto& [number, one] : sessions_) {
-        one.session->send_frame(frame);
+        if (!one.observes) {
+            one.session->send_frame(frame);
+        }
     }
 }
 
@@ -148,7 +157,9 @@
         frame = listing_frame();
     }
     for (auto& [number, one] : sessions_) {
-        one.session->send_frame(frame);
+        if (!one.observes) {
+            one.session->send_frame(frame);
+        }
     }
 }
 
@@ -157,7 +168,7 @@
     std::set<std::string_view> names;
     const base::instant now = clock_.now();
     for (const auto& [number, one] : sessions_) {
-        if (now - one.last_report < report_limit) {
+        if (!one.observes && now - one.last_report < report_limit) {
             names.insert(one.name);
         }
     }
--- a/curranthoist/cored/front_sessions.hpp
+++ b/curranthoist/cored/front_sessions.hpp
@@ -34,8 +34,8 @@
     // A front without a report for this time is not counted; a session without one is
     // closed after twice that.
     static constexpr base::duration report_limit{2000};
-    // A member that does not lead sends a state that is at least this old, in case the
-    // leader can't reach the front.
+    // A member that does not lead sends a state to a front that has lacked it for this
+    // time, in case the leader can't reach it.
     static constexpr base::duration follower_delay{250};
 
     // The state must outlive it.
@@ -65,7 +65,9 @@
         std::string name;
         base::instant last_report;
         std::uint64_t state_index = 0;
-        bool reported = false;
+        // Since when its reports lack the newest state.
+        base::instant lacks_since = base::instant::max();
+        bool observes = false;
     };
     struct listing
     {
@@ -87,7 +89,6 @@
     base::logger log_{"sessions"};
     std::map<std::uint64_t, front_session> sessions_;
     std::uint64_t last_session_ = 0;
-    base::instant changed_;
     std::optional<listing> listing_;
     std::uint64_t last_sequence_ = 0;
 };
--- a/curranthoist/cored/main.cpp
+++ b/curranthoist/cored/main.cpp
@@ -1,10 +1,10 @@
-#include "curranthoist/cored/core_process.hpp"
+#include "curranthoist/cored/core_program.hpp"
 #include "curranthoist/platform/process_shell.hpp"
 
 int main(int argc, char** argv)
 {
-    using curranthoist::cored::core_process;
-    return curranthoist::platform::run_process<core_process>(
+    using curranthoist::cored::core_program;
+    return curranthoist::platform::run_process<core_program>(
         argc, argv,
         {"curranthoist-core",
          "Holds the operators' configuration in a replicated log and "
--- a/curranthoist/deployment/deployment_state.cpp
+++ b/curranthoist/deployment/deployment_state.cpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/findings_error.hpp"
 #include "curranthoist/base/logger.hpp"
+#include "curranthoist/wire/packed_text.hpp"
 
 #include <utility>
 
@@ -17,9 +18,10 @@
                : wire::verified_envelope(frame.subspan(wire::frame_prefix_bytes));
 }
 
-std::string text_of(const flatbuffers::Vector<std::uint8_t>* bytes)
+std::vector<std::uint8_t> bytes_of(const flatbuffers::Vector<std::uint8_t>* bytes)
 {
-    return bytes == nullptr ? std::string() : std::string(bytes->begin(), bytes->end());
+    return bytes == nullptr ? std::vector<std::uint8_t>()
+                            : std::vector<std::uint8_t>(bytes->begin(), bytes->end());
 }
 
 } // namespace
@@ -30,7 +32,7 @@
     wire::deployment_command_message command;
     command.order = wire::deployment_order::replace_configuration;
     command.version = version;
-    command.document.assign(document.begin(), document.end());
+    command.document = wire::pack_text(document);
     return wire::encode_frame(std::move(command));
 }
 
@@ -59,7 +61,7 @@
             return;
         }
         version_ = command->version();
-        document_ = text_of(command->document());
+        packed_document_ = bytes_of(command->document());
     }
     else {
         const base::zone_id zone(command->zone() == nullptr ? ""
@@ -77,12 +79,22 @@
     }
 }
 
+std::string deployment_state::document() const
+{
+    auto text = wire::unpack_text(packed_document_);
+    if (!text && version_ > 0) {
+        base::logger("deployment")
+            .error("event=document_unreadable version=" + std::to_string(version_));
+    }
+    return text.value_or("");
+}
+
 wire::deployment_snapshot_message deployment_state::message() const
 {
     wire::deployment_snapshot_message result;
     result.index = changed_at_.value();
     result.version = version_;
-    result.document.assign(document_.begin(), document_.end());
+    result.document = packed_document_;
     for (const base::zone_id& zone : evacuated_) {
         result.evacuated_zones.push_back(zone.str());
     }
@@ -106,7 +118,7 @@
     }
     changed_at_ = base::log_index(from->index());
     version_ = from->version();
-    document_ = text_of(from->document());
+    packed_document_ = bytes_of(from->document());
     evacuated_.clear();
     if (from->evacuated_zones() != nullptr) {
         for (const auto* zone : *from->evacuated_zones()) {
--- a/curranthoist/deployment/deployment_state.hpp
+++ b/curranthoist/deployment/deployment_state.hpp
@@ -41,7 +41,8 @@
     [[nodiscard]] base::log_index changed_at() const { return changed_at_; }
     // 0 if there is no configuration yet.
     [[nodiscard]] std::uint64_t version() const { return version_; }
-    [[nodiscard]] const std::string& document() const { return document_; }
+    // The configuration as it was sent. Unpacks it each time.
+    [[nodiscard]] std::string document() const;
     [[nodiscard]] const std::set<base::zone_id>& evacuated() const { return evacuated_; }
     // The whole state as a message for other processes.
     [[nodiscard]] wire::deployment_snapshot_message message() const;
@@ -49,7 +50,8 @@
 private:
     base::log_index changed_at_;
     std::uint64_t version_ = 0;
-    std::string document_;
+    // See wire::pack_text().
+    std::vector<std::uint8_t> packed_document_;
     std::set<base::zone_id> evacuated_;
     change_handler on_change_;
 };
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -75,9 +75,9 @@
     , tick_(loop)
     , started_(clock_.now())
 {
-    links_ =
-        std::make_unique<core_links>(loop_, base::vm_id(settings_.name), settings_.zone,
-                                     peers_of(settings_), link_handlers());
+    links_ = std::make_unique<coreclient::core_links>(loop_, base::vm_id(settings_.name),
+                                                      settings_.zone, peers_of(settings_),
+                                                      link_handlers());
     callers_ = std::make_unique<http::caller_server>(
         loop_,
         http::caller_server_options{.listen = *settings_.callers,
@@ -97,10 +97,10 @@
               " callers=" + settings_.callers->str());
 }
 
-core_links::handlers front_process::link_handlers()
+coreclient::core_links::handlers front_process::link_handlers()
 {
-    core_links::handlers on;
-    on.on_state = [this](const received_state& state) { on_state(state); };
+    coreclient::core_links::handlers on;
+    on.on_state = [this](const coreclient::received_state& state) { on_state(state); };
     on.on_listing = [this](std::vector<deployment::listed_target> targets,
                            base::instant read_at) {
         on_listing(std::move(targets), read_at);
@@ -118,7 +118,7 @@
     return on;
 }
 
-void front_process::on_state(const received_state& state)
+void front_process::on_state(const coreclient::received_state& state)
 {
     context_.directory.set_evacuated(state.evacuated, clock_.now());
     if (state.version <= configuration_.offered_version()) {
--- a/curranthoist/frontd/front_process.hpp
+++ b/curranthoist/frontd/front_process.hpp
@@ -2,9 +2,9 @@
 
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/coreclient/core_links.hpp"
 #include "curranthoist/forwarding/configuration_switch.hpp"
 #include "curranthoist/frontd/caller_task.hpp"
-#include "curranthoist/frontd/core_links.hpp"
 #include "curranthoist/frontd/task_context.hpp"
 #include "curranthoist/http/caller_server.hpp"
 #include "curranthoist/platform/node_settings.hpp"
@@ -36,8 +36,8 @@
     void reload(const platform::node_settings& settings);
 
 private:
-    [[nodiscard]] core_links::handlers link_handlers();
-    void on_state(const received_state& state);
+    [[nodiscard]] coreclient::core_links::handlers link_handlers();
+    void on_state(const coreclient::received_state& state);
     // Lets a pending configuration take effect if it may.
     void switch_configuration();
     // Answers a request that this process can't take now; it has not run.
@@ -64,7 +64,7 @@
     std::uint64_t last_task_ = 0;
     // Ended tasks, dropped outside of their handlers.
     std::vector<std::shared_ptr<caller_task>> ended_;
-    std::unique_ptr<core_links> links_;
+    std::unique_ptr<coreclient::core_links> links_;
     std::unique_ptr<http::caller_server> callers_;
     std::unique_ptr<http::caller_server> readiness_;
     ev::timer tick_;
--- a/curranthoist/testing/platform/platform_path_test.cpp
+++ b/curranthoist/testing/platform/platform_path_test.cpp
@@ -50,8 +50,10 @@
         for (std::size_t i = 0; i < 3; ++i) {
             file << (i == 0 ? "" : ",") << vms_[i] << ":" << operators_port;
         }
-        file << "\nfirst_start=" << (first ? "true" : "false")
-             << "\ndata_directory=" << folder() << "/data-" << vm << "-" << folder_name
+        file << "\nfirst_start=" << (first ? "true" : "false") << "\ndata_directory="
+             << (folder_name.empty()
+                     ? ""
+                     : folder() + "/data-" + std::to_string(vm) + "-" + folder_name)
              << "\nbounds.grace_period_s=6\nbounds.config_apply_ms=3000"
              << "\nbounds.retry_budget_ratio=0.2\nbounds.retry_budget_slack=58"
              << "\ncloud_api.address=" << list_
@@ -141,6 +143,20 @@
             return operate("POST", "/v1/configuration/replace", body.dump()) == wanted;
         });
     }
+    // Promotions of members after the founder, as the leaders logged them.
+    std::size_t voters_added()
+    {
+        std::size_t count = 0;
+        for (const child_process* core : cores_) {
+            const std::string output = core->output();
+            for (std::size_t at = output.find("membership_change kind=1");
+                 at != std::string::npos;
+                 at = output.find("membership_change kind=1", at + 1)) {
+                ++count;
+            }
+        }
+        return count;
+    }
     bool ready(std::size_t vm)
     {
         return wait_until_ready({vms_[vm], readiness_port}, "/v1/readiness");
@@ -286,6 +302,7 @@
 {
     start_all();
     ASSERT_TRUE(replace(configuration(7)));
+    ASSERT_TRUE(wait_until([&] { return voters_added() == 2; }));
     cores_[0]->kill_now();
     ASSERT_TRUE(replace(configuration(8)));
     // It comes back with an empty disk, under an identity of its own.
@@ -306,6 +323,25 @@
     EXPECT_EQ(ask(1, "/o/1", "after", "POST").status, 200U);
 }
 
+// Guards against a first start in which the VMs without a disk, which may be all the
+// seeds that a process knows, lead nowhere.
+TEST_F(platform_path_test, a_core_process_without_a_disk_leads_to_the_others)
+{
+    start("curranthoist-core", {"--settings", settings(0, true, "")});
+    for (std::size_t vm = 1; vm < 3; ++vm) {
+        cores_.push_back(&start_core(vm));
+        fronts_.push_back(&start_front(vm));
+    }
+    ASSERT_TRUE(replace(configuration(7)));
+    EXPECT_EQ(send({vms_[0], operators_port},
+                   {.method = "GET", .path = "/v1/configuration/get"})
+                  .status,
+              http::status::temporary_redirect);
+    EXPECT_EQ(version_read_back(), 7U);
+    ASSERT_TRUE(ready(1));
+    EXPECT_EQ(ask(1, "/o/1", "one", "POST").status, 200U);
+}
+
 // Guards against state that only the processes' memory held.
 TEST_F(platform_path_test, everything_acknowledged_is_back_after_all_were_killed)
 {
