Wait for requests on the last connections of a stop

Cause: when an entry process had released its targets it ended at once.

Change: while the targets are released the process waits up to 0.5 s for connections without a request, then closes the idle ones.

Ruled out: a request lost in the kernel's queue (take_waiting_connections() empties it).

--- a/curranthoist/entry/entry_process.cpp
+++ b/curranthoist/entry/entry_process.cpp
@@ -137,13 +137,29 @@
     if (before == stop_phase::serving) {
         return;
     }
-    stop_.on_time(clock_.now(), std::max(dispatcher_.running(), callers_.open_requests()),
+    const std::size_t running = std::max(dispatcher_.running(), callers_.open_requests());
+    stop_.on_time(clock_.now(), std::max(running, connections_to_wait_for()),
                   unreleased());
     if (stop_.phase() != before) {
         enter_phase(stop_.phase());
     }
 }
 
+// A connection that was taken last may not have sent its request yet; ended now, it would
+// break. Idle ones are closed after the wait.
+std::size_t entry_process::connections_to_wait_for()
+{
+    constexpr base::duration request_wait{500};
+    if (stop_.phase() != stop_phase::releasing) {
+        return 0;
+    }
+    if (clock_.now() - releasing_since_ >= request_wait) {
+        callers_.close_idle();
+        return 0;
+    }
+    return callers_.live_connections();
+}
+
 std::size_t entry_process::unreleased() const
 {
     const auto& assignments = control_.configuration().assignments;
@@ -171,6 +187,7 @@
     case stop_phase::releasing:
         log_.info("stopping: requests are finished, releasing targets");
         callers_.stop_accepting();
+        releasing_since_ = clock_.now();
         // The leader answers with a configuration that releases every target of this VM.
         control_.set_stopping();
         break;
--- a/curranthoist/entry/entry_process.hpp
+++ b/curranthoist/entry/entry_process.hpp
@@ -36,6 +36,7 @@
     void on_tick(ev::timer& watcher, int events);
     void enter_phase(stop_phase phase);
     // Targets, relayed parts and unsent replies that a stop waits for.
+    [[nodiscard]] std::size_t connections_to_wait_for();
     [[nodiscard]] std::size_t unreleased() const;
 
     settings::entry_settings settings_;
@@ -46,6 +47,8 @@
     base::logger log_{"process"};
     base::random_source random_;
     stop_controller stop_;
+    // When the listening socket was closed.
+    base::instant releasing_since_;
     deferred_calls deferred_;
     service_registry services_;
     part_server own_;
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -105,9 +105,8 @@
 
 target_client::~target_client()
 {
-    for (const auto& [descriptor, connection] : connections_) {
-        connection->watcher.stop();
-        ::close(descriptor);
+    while (!connections_.empty()) {
+        close(*connections_.begin()->second);
     }
 }
 
--- a/curranthoist/http/target_client_test.cpp
+++ b/curranthoist/http/target_client_test.cpp
@@ -438,5 +438,19 @@
     EXPECT_TRUE(results_.empty());
 }
 
+// Guards against an owner that waits for good to release a target, because it was not
+// told that the target's connections are closed.
+TEST_F(target_client_test, the_end_of_a_client_reports_every_closed_socket)
+{
+    int opened = 0;
+    int closed = 0;
+    client_->set_socket_handler(
+        [&](target_client::call_number, bool open) { (open ? opened : closed) += 1; });
+    call({});
+    client_.reset();
+    EXPECT_EQ(opened, 1);
+    EXPECT_EQ(closed, 1);
+}
+
 } // namespace
 } // namespace curranthoist::http
--- a/curranthoist/testing/platform/platform_path_test.cpp
+++ b/curranthoist/testing/platform/platform_path_test.cpp
@@ -38,7 +38,7 @@
 
     std::string settings(std::size_t vm, bool first, const std::string& folder_name)
     {
-        const std::string path =
+        std::string path =
             folder() + "/settings-" + std::to_string(vm) + "-" + folder_name;
         std::ofstream file(path);
         const std::string& own = vms_[vm];
