Let members tell observers where they are

After all processes were killed the observers knew each other only, so the fronts found no member, though a leader was there 0.3 s after the start.

Change: a member tells the seeds that are no members where it is, twice a second, with the request by which it would join; an observer dials it.

Test: platform_path_test with one seed, an observer that forgets; all processes are killed and must serve again.

--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -54,6 +54,12 @@
     dial_missing();
 }
 
+void core_links::learn(const base::endpoint& member)
+{
+    rumoured_.insert(member);
+    dial_missing();
+}
+
 std::size_t core_links::live_members() const
 {
     return static_cast<std::size_t>(
--- a/curranthoist/coreclient/core_links.hpp
+++ b/curranthoist/coreclient/core_links.hpp
@@ -66,6 +66,8 @@
 
     // Addresses to try besides the members that are known.
     void set_seeds(std::vector<base::endpoint> seeds);
+    // A member listens at this address, as it says itself.
+    void learn(const base::endpoint& member);
     // Where the member listens that said last that it leads; nothing if none did within
     // leader_limit.
     [[nodiscard]] std::optional<base::endpoint> leader() const;
--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -25,6 +25,8 @@
 constexpr base::duration join_after{1500};
 // A founded log takes orders once it has enough members, or after this time without them.
 constexpr base::duration gathering_limit{5000};
+// After all processes were killed, observers wait for this.
+constexpr base::duration announce_interval{500};
 // Leadership is handed over within this time, or the process stops without.
 constexpr base::duration handover_limit{1000};
 constexpr double handover_poll_s = 0.02;
@@ -236,6 +238,7 @@
     const bool has_place = status.members.is_voter(status.self) && !status.leader.empty();
     if (has_place) {
         without_place_since_ = base::instant::max();
+        announce(status, now);
         return;
     }
     if (without_place_since_ == base::instant::max()) {
@@ -256,6 +259,19 @@
     joiner_->ask(addresses);
 }
 
+void core_process::announce(const consensus::replica_status& status, base::instant now)
+{
+    if (now - announced_ < announce_interval) {
+        return;
+    }
+    announced_ = now;
+    std::set<base::endpoint> addresses(settings_.seeds.begin(), settings_.seeds.end());
+    for (const consensus::member& one : status.members.members()) {
+        addresses.erase(operators_of(one.address));
+    }
+    joiner_->ask(addresses);
+}
+
 void core_process::on_request(const http::caller_request& request,
                               const http::responder& answer)
 {
--- a/curranthoist/cored/core_process.hpp
+++ b/curranthoist/cored/core_process.hpp
@@ -63,6 +63,9 @@
     void on_tick(ev::timer& watcher, int events);
     void on_stop_timer(ev::timer& watcher, int events);
     void join_if_needed(base::instant now);
+    // Tells the seeds that are no members where this member is: an observer that has just
+    // started, and the fronts that know no other address, learn of the core so.
+    void announce(const consensus::replica_status& status, base::instant now);
 
     void on_request(const http::caller_request& request, const http::responder& answer);
     void replace_configuration(const http::caller_request& request,
@@ -97,6 +100,7 @@
     ev::timer tick_;
     ev::timer stop_timer_;
     base::instant stop_until_;
+    base::instant announced_;
     // Since when this process has neither been a voter with a leader nor led.
     base::instant without_place_since_ = base::instant::max();
 };
--- a/curranthoist/cored/observer_process.cpp
+++ b/curranthoist/cored/observer_process.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/wall_clock.hpp"
 #include "curranthoist/cored/founder_choice.hpp"
 #include "curranthoist/cored/founding_api.hpp"
+#include "curranthoist/cored/join_client.hpp"
 #include "curranthoist/http/status.hpp"
 
 #include <memory>
@@ -80,6 +81,11 @@
 void observer_process::on_request(const http::caller_request& request,
                                   const http::responder& answer)
 {
+    if (request.path == join_client::path) {
+        if (const auto member = join_client::decode(request.body)) {
+            links_.learn(member->address);
+        }
+    }
     const auto leader = links_.leader();
     if (request.path == founding_api::path) {
         if (leader) {
--- a/curranthoist/testing/platform/platform_path_test.cpp
+++ b/curranthoist/testing/platform/platform_path_test.cpp
@@ -47,7 +47,7 @@
              << "\nlisten_addresses.ready=" << own << ":" << readiness_port
              << "\nlisten_addresses.control=" << own << ":" << operators_port
              << "\ninternal_port_range=7380,7395\nseed_nodes=";
-        for (std::size_t i = 0; i < 3; ++i) {
+        for (std::size_t i = 0; i < seeds_; ++i) {
             file << (i == 0 ? "" : ",") << vms_[i] << ":" << operators_port;
         }
         file << "\nfirst_start=" << (first ? "true" : "false") << "\ndata_directory="
@@ -184,6 +184,8 @@
     }
 
     std::vector<std::string> vms_;
+    // The first so many VMs are the seeds in all settings.
+    std::size_t seeds_ = 3;
     std::string list_;
     std::optional<stand_in_platform> platform_;
     std::vector<child_process*> cores_;
@@ -327,12 +329,27 @@
 // seeds that a process knows, lead nowhere.
 TEST_F(platform_path_test, a_core_process_without_a_disk_leads_to_the_others)
 {
-    start("curranthoist-core", {"--settings", settings(0, true, "")});
+    seeds_ = 1;
+    child_process& observer =
+        start("curranthoist-core", {"--settings", settings(0, true, "")});
     for (std::size_t vm = 1; vm < 3; ++vm) {
         cores_.push_back(&start_core(vm));
         fronts_.push_back(&start_front(vm));
     }
     ASSERT_TRUE(replace(configuration(7)));
+    ASSERT_TRUE(wait_until([&] { return voters_added() == 1; }));
+    // The observer, the only seed, forgets whom it knew.
+    observer.kill_now();
+    for (std::size_t i = 0; i < 2; ++i) {
+        cores_[i]->kill_now();
+        fronts_[i]->kill_now();
+    }
+    start("curranthoist-core", {"--settings", settings(0, false, "")});
+    for (std::size_t vm = 1; vm < 3; ++vm) {
+        start_core(vm, false);
+        start_front(vm);
+    }
+    ASSERT_TRUE(ready(1));
     EXPECT_EQ(send({vms_[0], operators_port},
                    {.method = "GET", .path = "/v1/configuration/get"})
                   .status,
