--- a/curranthoist/cored/target_list_reader.cpp
+++ b/curranthoist/cored/target_list_reader.cpp
@@ -4,6 +4,7 @@
 #include "curranthoist/platform/target_page.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace curranthoist::cored {
@@ -17,6 +18,8 @@
 constexpr std::size_t max_pages = 2000;
 constexpr double milliseconds_per_second = 1000.0;
 constexpr double used_part_of_rate = 0.5;
+// Maximum number of rejected entries of one reading that are logged.
+constexpr std::size_t max_logged_entries = 20;
 
 } // namespace
 
@@ -60,6 +63,8 @@
     targets_.clear();
     next_page_.clear();
     pages_ = 0;
+    rejected_count_ = 0;
+    rejected_.clear();
     ask();
 }
 
@@ -91,7 +96,11 @@
         finish(false, "a page can't be decoded");
         return;
     }
-    note_rejected(page->rejected);
+    rejected_count_ += page->rejected_count;
+    if (rejected_.size() < max_logged_entries) {
+        std::move(page->rejected.begin(), page->rejected.end(),
+                  std::back_inserter(rejected_));
+    }
     std::move(page->targets.begin(), page->targets.end(), std::back_inserter(targets_));
     if (page->next.empty()) {
         finish(true, "");
@@ -105,15 +114,18 @@
     ask();
 }
 
-void target_list_reader::note_rejected(const std::vector<std::string>& rejected)
+// The same entries come with each reading, so they are logged when their number changes.
+void target_list_reader::log_rejected()
 {
-    // The same entries come with each reading; they are logged when their number changes.
-    if (rejected.size() != last_rejected_) {
-        for (const std::string& one : rejected) {
-            log_.warn("event=list_entry_rejected reason=\"" + one + "\"");
-        }
+    if (rejected_count_ == logged_rejected_count_) {
+        return;
+    }
+    logged_rejected_count_ = rejected_count_;
+    log_.warn("event=list_entries_rejected count=" + std::to_string(rejected_count_));
+    const std::size_t logged = std::min(rejected_.size(), max_logged_entries);
+    for (std::size_t i = 0; i < logged; ++i) {
+        log_.warn("event=list_entry_rejected reason=\"" + rejected_[i] + "\"");
     }
-    last_rejected_ = rejected.size();
 }
 
 void target_list_reader::finish(bool complete, const std::string& reason)
@@ -134,6 +146,7 @@
     }
     timer_.start(wait.seconds());
     if (complete) {
+        log_rejected();
         on_list_(std::move(targets_), begun_);
     }
 }
--- a/curranthoist/cored/target_list_reader.hpp
+++ b/curranthoist/cored/target_list_reader.hpp
@@ -43,7 +43,7 @@
     void ask();
     void on_page(std::uint64_t reading, const http::target_result& result);
     void finish(bool complete, const std::string& reason);
-    void note_rejected(const std::vector<std::string>& rejected);
+    void log_rejected();
 
     base::monotonic_clock clock_;
     base::logger log_{"targets"};
@@ -59,7 +59,11 @@
     double call_time_ms_ = 0;
     // The last reading succeeded; nothing before the first one.
     std::optional<bool> reachable_;
-    std::size_t last_rejected_ = 0;
+    // Entries of this reading that name no target, how many there are, and the number at
+    // the last log line.
+    std::vector<std::string> rejected_;
+    std::size_t rejected_count_ = 0;
+    std::size_t logged_rejected_count_ = 0;
 };
 
 } // namespace curranthoist::cored
