Bound what a target's response costs; send no call whose limit has passed

Cause: a target may send bytes without end. Heads were bounded by http_parser, one body by 4 MiB, but a query over 180 shards could hold 720 MiB; interim responses, chunk framing and a sender faster than this process could keep the loop busy until the deadline. A call that waited for a connection was sent even if its limit had passed before the loop saw it, so that its bytes left for a caller that no longer waits. A success without a request name on a connection that names its responses was taken for the own one.

Change: a response is read up to twice its longest body and 64 KiB of header lines; all bodies above 16 KiB share a limit per process; a connection is read four times per turn; what was read of a failed response is dropped at once. An overdue call that waits ends as timed out with nothing sent.

The known red test target_client_test.the_cap_on_connections_holds_and_waiting_calls_time_out had calls with equal limits, so that the last one could get a connection of an ended one and truthfully report that bytes left; it now gives the holders a longer limit and checks all four waiting calls instead of the last. The fault in the product is kept by a_waiting_call_whose_limit_has_passed_is_not_sent, which failed on the code before.

--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -34,6 +34,9 @@
 constexpr std::size_t connects_at_once = 12;
 constexpr base::duration connect_ahead_interval{100};
 constexpr unsigned max_caller_connections = 2500;
+// The part of the process's memory that the bodies of targets' responses may fill; their
+// buffers may take twice as much.
+constexpr std::size_t response_memory_divisor = 8;
 // Longer than callers keep an idle connection, so that they close it first.
 constexpr unsigned idle_seconds = 60;
 
@@ -70,7 +73,8 @@
                forwarding::extra_send_budget({settings_.extra_ratio,
                                               settings_.extra_slack,
                                               settings_.extra_window}),
-               target_pool(loop),
+               target_pool(loop, std::make_shared<http::response_memory>(
+                                     settings_.memory_bytes / response_memory_divisor)),
                base::random_source(std::random_device()()),
                {},
                base::logger("request"),
@@ -235,6 +239,14 @@
         .set(static_cast<std::int64_t>(context_.directory.size()));
     metrics.gauge_named("curranthoist_target_connections", "Open connections to targets")
         .set(static_cast<std::int64_t>(context_.pool.open_sockets()));
+    metrics
+        .gauge_named("curranthoist_response_memory_bytes",
+                     "Counted bytes of targets' responses")
+        .set(static_cast<std::int64_t>(context_.pool.memory().used()));
+    metrics
+        .gauge_named("curranthoist_responses_refused_for_memory",
+                     "Targets' responses that were cut off for want of memory")
+        .set(static_cast<std::int64_t>(context_.pool.memory().refusals()));
     metrics.gauge_named("curranthoist_core_members", "Core members that answer")
         .set(static_cast<std::int64_t>(links_->live_members()));
     metrics.gauge_named("curranthoist_open_requests", "Requests without an answer yet")
@@ -283,6 +295,9 @@
                                  "\" status=" + std::to_string(result.status) +
                                  " instance=" + health.instance.str() + " cold_ms=" +
                                  std::to_string(health.remaining_cold_time.count()));
+                       if (same) {
+                           context_.on_notice(id, health.notice, clock_.now());
+                       }
                        if (health.healthy && same) {
                            context_.directory.on_healthy(id, health.remaining_cold_time,
                                                          clock_.now());
--- a/curranthoist/frontd/target_pool.cpp
+++ b/curranthoist/frontd/target_pool.cpp
@@ -14,6 +14,7 @@
     }
     if (!found) {
         found = std::make_unique<http::target_client>(loop_, address, max_connections);
+        found->limit_memory(memory_);
         found->set_socket_handler(
             [this, id, &client = *found](http::target_client::call_number, bool) {
                 if (on_connections_) {
--- a/curranthoist/frontd/target_pool.hpp
+++ b/curranthoist/frontd/target_pool.hpp
@@ -23,8 +23,10 @@
     using connection_handler =
         std::function<void(const base::target_id& id, std::size_t count)>;
 
-    explicit target_pool(ev::loop_ref loop)
+    // The responses of all targets hold `memory` together at most.
+    target_pool(ev::loop_ref loop, std::shared_ptr<http::response_memory> memory)
         : loop_(loop)
+        , memory_(std::move(memory))
     {}
 
     void set_connection_handler(connection_handler handler)
@@ -42,11 +44,13 @@
     // Drops retired clients without calls; must not be called from a result handler.
     void drop_idle();
     [[nodiscard]] std::size_t open_sockets() const;
+    [[nodiscard]] const http::response_memory& memory() const { return *memory_; }
 
 private:
     void retire(std::unique_ptr<http::target_client> client);
 
     ev::loop_ref loop_;
+    std::shared_ptr<http::response_memory> memory_;
     connection_handler on_connections_;
     std::map<base::target_id, std::unique_ptr<http::target_client>> clients_;
     std::vector<std::unique_ptr<http::target_client>> retired_;
--- a/curranthoist/http/internal/response_reader.cpp
+++ b/curranthoist/http/internal/response_reader.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstdint>
 #include <limits>
+#include <utility>
 
 namespace curranthoist::http::internal {
 
@@ -16,6 +17,11 @@
 // A target that sends more responses to other requests than this is not to be trusted
 // with the own one.
 constexpr std::size_t most_skipped = 3;
+// Maximum size of the header lines and trailers of a response.
+constexpr std::size_t max_header_bytes = std::size_t{64} * 1024;
+// Maximum number of bytes read for one response, as a multiple of its longest body:
+// heads, interim responses and the framing of chunks can go on without end.
+constexpr std::size_t max_received_factor = 2;
 
 bool equal_names(std::string_view a, std::string_view b)
 {
@@ -24,9 +30,11 @@
 
 } // namespace
 
-response_reader::response_reader(const target_call& call, target_result& result)
+response_reader::response_reader(const target_call& call, target_result& result,
+                                 std::shared_ptr<response_memory> memory)
     : call_(call)
     , result_(result)
+    , memory_(std::move(memory))
 {
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
@@ -51,6 +59,10 @@
         return result;
     }();
     begun_ = begun_ || !bytes.empty();
+    received_bytes_ += bytes.size();
+    if (received_bytes_ > call_.max_body_bytes * max_received_factor + max_header_bytes) {
+        return call_outcome::too_large;
+    }
     const std::size_t taken =
         http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
     if (complete_) {
@@ -87,6 +99,8 @@
 {
     response_reader& self = of(parser);
     self.result_.headers.clear();
+    self.field_.clear();
+    self.value_.clear();
     self.in_value_ = false;
     // Also for what follows a dropped response in the same bytes.
     self.begun_ = true;
@@ -99,6 +113,9 @@
     if (self.in_value_) {
         self.store_header();
     }
+    if (!self.accept_header_bytes(size)) {
+        return -1;
+    }
     self.field_.append(data, size);
     return 0;
 }
@@ -107,10 +124,33 @@
 {
     response_reader& self = of(parser);
     self.in_value_ = true;
+    if (!self.accept_header_bytes(size)) {
+        return -1;
+    }
     self.value_.append(data, size);
     return 0;
 }
 
+bool response_reader::accept_header_bytes(std::size_t size)
+{
+    header_bytes_ += size;
+    too_large_ = header_bytes_ > max_header_bytes;
+    return !too_large_;
+}
+
+bool response_reader::accept_body_bytes(std::size_t size)
+{
+    const std::size_t total = result_.body.size() + size;
+    too_large_ = total > call_.max_body_bytes;
+    if (!too_large_ && memory_ && total > response_memory::uncounted_bytes) {
+        if (!result_.held_memory) {
+            result_.held_memory = std::make_shared<response_memory::reservation>(memory_);
+        }
+        too_large_ = !result_.held_memory->grow(total);
+    }
+    return !too_large_;
+}
+
 void response_reader::store_header()
 {
     result_.headers.emplace(std::move(field_), std::move(value_));
@@ -127,6 +167,14 @@
            named->second != sent->second;
 }
 
+bool response_reader::lacks_required_id() const
+{
+    const bool success =
+        result_.status >= status::ok && result_.status < status::first_redirect;
+    return requires_id_ && success && call_.headers.contains(call_.id_header) &&
+           !result_.headers.contains(call_.id_header);
+}
+
 int response_reader::on_headers_complete(http_parser* parser)
 {
     response_reader& self = of(parser);
@@ -145,7 +193,7 @@
         parser->content_length != std::numeric_limits<std::uint64_t>::max();
     self.ends_with_connection_ = !bodiless && !has_length;
     self.skipping_ = self.names_another_request();
-    self.mismatched_ = self.skipping_ && !self.may_skip();
+    self.mismatched_ = (self.skipping_ && !self.may_skip()) || self.lacks_required_id();
     if (self.mismatched_) {
         return -1;
     }
@@ -166,12 +214,10 @@
         self.too_large_ = self.skipped_bytes_ > self.call_.max_body_bytes;
         return self.too_large_ ? -1 : 0;
     }
-    std::string& body = self.result_.body;
-    self.too_large_ = body.size() + size > self.call_.max_body_bytes;
-    if (self.too_large_) {
+    if (!self.accept_body_bytes(size)) {
         return -1;
     }
-    body.append(data, size);
+    self.result_.body.append(data, size);
     return 0;
 }
 
--- a/curranthoist/http/internal/response_reader.hpp
+++ b/curranthoist/http/internal/response_reader.hpp
@@ -4,6 +4,7 @@
 #include "curranthoist/http/target_result.hpp"
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,11 +20,17 @@
 class response_reader
 {
 public:
-    // Fills `result`; both must outlive the reader.
-    response_reader(const target_call& call, target_result& result);
+    // Fills `result`; both must outlive the reader. Without `memory` only the limits of
+    // the call hold.
+    response_reader(const target_call& call, target_result& result,
+                    std::shared_ptr<response_memory> memory = nullptr);
     response_reader(const response_reader&) = delete;
     response_reader& operator=(const response_reader&) = delete;
 
+    // Refuses a success that names no request. A target that names the request in one
+    // response of a connection does so in all of them, so this is not the own response.
+    void require_id() { requires_id_ = true; }
+
     // Takes the next bytes. Returns the outcome once the response is complete or can't
     // become one.
     std::optional<call_outcome> read(std::string_view bytes);
@@ -44,18 +51,28 @@
     static response_reader& of(http_parser* parser);
 
     void store_header();
+    // Whether the head may have so many more bytes.
+    bool accept_header_bytes(std::size_t size);
+    // Whether the body may have so many more bytes.
+    bool accept_body_bytes(std::size_t size);
     // Whether the response that has begun can be read past.
     [[nodiscard]] bool may_skip() const;
     [[nodiscard]] bool names_another_request() const;
+    [[nodiscard]] bool lacks_required_id() const;
     [[nodiscard]] bool has_announced_size() const;
     [[nodiscard]] call_outcome complete_outcome() const;
 
     const target_call& call_;
     target_result& result_;
+    std::shared_ptr<response_memory> memory_;
     http_parser parser_{};
+    // Bytes read so far, and those of them in header lines and trailers.
+    std::size_t received_bytes_ = 0;
+    std::size_t header_bytes_ = 0;
     std::string field_;
     std::string value_;
     bool in_value_ = false;
+    bool requires_id_ = false;
     bool begun_ = false;
     bool complete_ = false;
     bool mismatched_ = false;
--- a/curranthoist/http/internal/response_reader_test.cpp
+++ b/curranthoist/http/internal/response_reader_test.cpp
@@ -52,6 +52,28 @@
               call_outcome::mismatched);
 }
 
+// Guards against a late copy of an earlier response that names no request, on a
+// connection whose responses name theirs. A refusal may come from before the request was
+// read, so it need not name it.
+TEST(response_reader_test, a_success_without_a_name_is_refused_where_names_are_usual)
+{
+    const target_call call = skipping_call();
+    const auto outcome_of = [&call](bool required, const std::string& response) {
+        target_result result;
+        response_reader reader(call, result);
+        if (required) {
+            reader.require_id();
+        }
+        return reader.read(response);
+    };
+    const std::string success = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
+    const std::string refusal = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+    EXPECT_EQ(outcome_of(true, success), call_outcome::mismatched);
+    EXPECT_EQ(outcome_of(false, success), call_outcome::ok);
+    EXPECT_EQ(outcome_of(true, refusal), call_outcome::ok);
+    EXPECT_EQ(outcome_of(true, wanted), call_outcome::ok);
+}
+
 // Guards against memory that a dropped response takes without limit.
 TEST(response_reader_test, dropped_bytes_count_towards_the_limit)
 {
--- a/curranthoist/http/internal/target_connection.hpp
+++ b/curranthoist/http/internal/target_connection.hpp
@@ -34,6 +34,8 @@
     bool connected = false;
     // Calls that were sent on it.
     std::uint64_t calls = 0;
+    // True if a response on it named the request that it answered.
+    bool names_requests = false;
     // The call that it serves; null while it is idle.
     running_call* call = nullptr;
     // The same call if nobody wants its result any more; otherwise null.
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -24,6 +24,9 @@
 // crosses the close.
 constexpr base::duration close_margin{400};
 constexpr std::size_t read_bytes = std::size_t{16} * 1024;
+// A connection is read so often in one turn of the loop; a target that sends faster than
+// this process reads must not keep it from its other connections and timers.
+constexpr int max_reads_per_turn = 4;
 
 } // namespace
 
@@ -125,6 +128,10 @@
             continue;
         }
         running_call& call = *found->second;
+        if (is_overdue(call)) {
+            end_call(call.number, call_outcome::timed_out);
+            continue;
+        }
         target_connection* connection =
             call.call.fresh_connection ? nullptr : take_idle(call.call.checks_connection);
         if (connection == nullptr) {
@@ -138,6 +145,11 @@
     }
 }
 
+bool target_client::is_overdue(const running_call& call) const
+{
+    return clock_.now() - call.started >= call.call.time_limit;
+}
+
 // A call that waits is worth more than a connection that may become free.
 void target_client::close_abandoned_connection()
 {
@@ -336,7 +348,10 @@
     if (!connection.reader) {
         connection.output = internal::request_text(call.call, remote_);
         connection.sent = 0;
-        connection.reader.emplace(call.call, call.result);
+        connection.reader.emplace(call.call, call.result, memory_);
+        if (connection.names_requests) {
+            connection.reader->require_id();
+        }
         call.result.connection_was_new = connection.calls == 0;
     }
     while (connection.sent < connection.output.size()) {
@@ -366,7 +381,7 @@
 {
     std::array<char, read_bytes> buffer;
     const int descriptor = connection.descriptor;
-    while (true) {
+    for (int turn = 0; turn < max_reads_per_turn; ++turn) {
         const ssize_t size = ::recv(descriptor, buffer.data(), buffer.size(), 0);
         if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
             break;
@@ -405,6 +420,8 @@
                       connections_.size() <= max_connections_;
     if (keep) {
         const auto kept = internal::kept_for(call.result);
+        connection.names_requests = connection.names_requests ||
+                                    call.result.headers.contains(call.call.id_header);
         connection.usable_until =
             kept ? clock_.now() + *kept - close_margin : base::instant::max();
         connection.reader.reset();
@@ -442,6 +459,11 @@
 void target_client::conclude(running_call& call, call_outcome outcome)
 {
     call.result.outcome = outcome;
+    if (outcome != call_outcome::ok) {
+        // A part of a response is of no use, and may be long.
+        call.result.body = {};
+        call.result.held_memory.reset();
+    }
     call.result.elapsed = clock_.now() - call.started;
     finished_.emplace_back(std::move(call.on_done), std::move(call.result));
     if (!delivery_timer_.is_active()) {
@@ -478,9 +500,9 @@
 void target_client::deliver_results()
 {
     while (!finished_.empty()) {
-        const auto [handler, result] = std::move(finished_.front());
+        auto [handler, result] = std::move(finished_.front());
         finished_.pop_front();
-        handler(result);
+        handler(std::move(result));
     }
     delivery_timer_.stop();
 }
--- a/curranthoist/http/target_client.hpp
+++ b/curranthoist/http/target_client.hpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/endpoint.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/http/response_memory.hpp"
 #include "curranthoist/http/target_call.hpp"
 #include "curranthoist/http/target_result.hpp"
 
@@ -74,6 +75,12 @@
 
     void set_socket_handler(socket_handler handler) { on_socket_ = std::move(handler); }
 
+    // Counts the bodies of responses within a limit that other clients share.
+    void limit_memory(std::shared_ptr<response_memory> memory)
+    {
+        memory_ = std::move(memory);
+    }
+
     // Changes the limit for connections that are opened from now on. Idle connections
     // above the limit are closed as calls end.
     void set_max_connections(std::size_t max_connections);
@@ -91,6 +98,8 @@
     using connection_pointer = std::unique_ptr<internal::target_connection>;
 
     void start_waiting_calls();
+    // Whether the call's time limit has passed, also if the loop has not seen it yet.
+    [[nodiscard]] bool is_overdue(const internal::running_call& call) const;
     [[nodiscard]] std::size_t busy_connections() const;
     // An idle connection that can take a request, or null; closes those that can't. With
     // `check` it asks the kernel for bytes or an end that the loop has not seen yet.
@@ -127,6 +136,7 @@
     base::monotonic_clock clock_;
     std::size_t max_connections_;
     socket_handler on_socket_;
+    std::shared_ptr<response_memory> memory_;
     ev::timer delivery_timer_;
     std::uint64_t last_connection_ = 0;
     call_number last_call_ = 0;
--- a/curranthoist/http/target_client_test.cpp
+++ b/curranthoist/http/target_client_test.cpp
@@ -6,11 +6,13 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <chrono>
 #include <cstdlib>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <thread>
 #include <tuple>
 #include <vector>
 
@@ -425,13 +427,40 @@
 {
     connect(2);
     server_.on_request = [](int /*peer*/) {};
-    for (int i = 0; i < 6; ++i) {
+    // The two calls with a connection outlast those that wait, or these would get it.
+    for (int i = 0; i < 2; ++i) {
+        start({.time_limit = base::duration(1000)});
+    }
+    for (int i = 0; i < 4; ++i) {
         start({.time_limit = base::duration(100)});
     }
+    ASSERT_TRUE(finish(4));
+    for (const target_result& result : results_) {
+        EXPECT_EQ(result.outcome, call_outcome::timed_out);
+        EXPECT_FALSE(result.request_may_have_left);
+    }
     ASSERT_TRUE(finish(6));
     EXPECT_EQ(client_->peak_sockets(), 2U);
     EXPECT_EQ(server_.request_lines, 2);
-    EXPECT_FALSE(results_.back().request_may_have_left);
+}
+
+// Guards against a request that is sent although its caller no longer waits: a busy
+// process can find a free connection and the end of the time limit in the same turn.
+TEST_F(target_client_test, a_waiting_call_whose_limit_has_passed_is_not_sent)
+{
+    connect(1);
+    int peer = -1;
+    server_.on_request = [&peer](int descriptor) { peer = descriptor; };
+    start({.time_limit = base::duration(2000)});
+    ASSERT_TRUE(run_until(loop_, [&] { return peer >= 0; }));
+    start({.time_limit = base::duration(50)});
+    std::this_thread::sleep_for(std::chrono::milliseconds(80));
+    raw_server::write(peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    ASSERT_TRUE(finish(2));
+    EXPECT_EQ(results_[0].outcome, call_outcome::ok);
+    EXPECT_EQ(results_[1].outcome, call_outcome::timed_out);
+    EXPECT_FALSE(results_[1].request_may_have_left);
+    EXPECT_EQ(server_.request_lines, 1);
 }
 
 TEST_F(target_client_test, fresh_connections_stay_within_the_cap)
--- a/curranthoist/platform/node_settings.cpp
+++ b/curranthoist/platform/node_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/findings_error.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
@@ -16,6 +17,8 @@
 
 constexpr double bytes_per_megabit = 125'000.0;
 constexpr double milliseconds_per_second = 1000.0;
+constexpr double bytes_per_megabyte = 1024.0 * 1024.0;
+constexpr double max_memory_bytes = 1e15;
 
 struct located_value
 {
@@ -119,6 +122,13 @@
         return base::duration(static_cast<std::int64_t>(number(key, otherwise.seconds()) *
                                                         milliseconds_per_second));
     }
+    std::size_t megabytes(const std::string& key, std::size_t otherwise)
+    {
+        const double bytes =
+            number(key, static_cast<double>(otherwise) / bytes_per_megabyte) *
+            bytes_per_megabyte;
+        return static_cast<std::size_t>(std::min(bytes, max_memory_bytes));
+    }
     std::uint16_t first_port(const std::string& key)
     {
         const located_value* value = find(key);
@@ -216,6 +226,7 @@
     result.seeds = values.endpoints("seed_nodes");
     result.founds_deployment = values.flag("first_start");
     result.data_folder = values.text("data_directory", false);
+    result.memory_bytes = values.megabytes("limits.memory_mb", result.memory_bytes);
     result.link_bytes_per_s =
         values.number("limits.link_mbps", result.link_bytes_per_s / bytes_per_megabit) *
         bytes_per_megabit;
--- a/curranthoist/platform/node_settings.hpp
+++ b/curranthoist/platform/node_settings.hpp
@@ -41,6 +41,8 @@
     std::optional<base::endpoint> list_address;
     // How far the platform's list may lag behind.
     base::duration list_lag{1000};
+    // What a process may use before the platform ends it.
+    std::size_t memory_bytes = std::size_t{256} * 1024 * 1024;
     // What the VM's link carries; all its processes share it.
     double link_bytes_per_s = 125'000'000.0;
     // Calls a second that the list accepts from all VMs together.
