Stop sending to targets that say they leave or want a pause

Both were ignored: the list, which lags by up to 0.8 s and is read each 0.9 s, was the only source.

Change: the adapter decodes both into a target_notice. The directory withdraws such a target at once, keeps what it said over gaps in the list and newer lists, and takes a leaving target back only after its health endpoint answered that it does not leave; it gets no probes and no preconnections during a pause. Retry-After values of 0, negative and unreadable ones ask for nothing, long ones count as an hour. A refused single request tells its caller to come back when the first paused target takes requests again.

--- a/curranthoist/coreclient/core_links_test.cpp
+++ b/curranthoist/coreclient/core_links_test.cpp
@@ -1,6 +1,6 @@
 #include "curranthoist/coreclient/core_links.hpp"
-#include "curranthoist/http/internal/listening_socket.hpp"
 #include "curranthoist/http/internal/raw_peer.hpp"
+#include "curranthoist/testing/loopback.hpp"
 #include "curranthoist/wire/packed_text.hpp"
 #include "curranthoist/wire/peer_listener.hpp"
 
@@ -13,12 +13,13 @@
 
 using http::internal::run_until;
 
+// An endpoint that no other test process listens on. A port that the kernel chose and
+// that was closed again could be taken by another process.
 base::endpoint free_endpoint()
 {
-    const int descriptor = http::internal::open_listening_socket({"127.0.0.1", 0});
-    base::endpoint result = http::internal::bound_endpoint(descriptor);
-    ::close(descriptor);
-    return result;
+    constexpr std::uint16_t port = 7380;
+    static unsigned last_host = 0;
+    return {testing::loopback_address(++last_host), port};
 }
 
 // A core process that responds to reports, as the leader or as a follower, and can send
--- a/curranthoist/forwarding/target_directory.cpp
+++ b/curranthoist/forwarding/target_directory.cpp
@@ -48,6 +48,11 @@
 // each probe.
 constexpr base::duration first_probe_delay{300};
 constexpr base::duration max_probe_delay{2000};
+// A target that said that it is leaving is probed later: by then the list names it as
+// draining or no longer, unless it has restarted.
+constexpr base::duration leaving_probe_delay{4000};
+// What a target said of itself is kept for this time after it was listed last.
+constexpr base::duration notice_retention{60'000};
 // Added to the end of a warm-up, because the list and the target measure it on different
 // clocks.
 constexpr base::duration warmup_end_margin{200};
@@ -58,7 +63,8 @@
 {
     return "listed=" + std::to_string(listed) + " draining=" + std::to_string(draining) +
            " cold=" + std::to_string(cold) + " evacuated=" + std::to_string(evacuated) +
-           " unreachable=" + std::to_string(unreachable);
+           " unreachable=" + std::to_string(unreachable) +
+           " leaving=" + std::to_string(leaving) + " paused=" + std::to_string(paused);
 }
 
 std::vector<base::target_id>
@@ -76,7 +82,11 @@
             }
         }
     }
+    std::erase_if(retained_notices_, [&change](const auto& one) {
+        return one.second.expires_at <= change.read_at;
+    });
     for (const base::target_id& id : removed_ids) {
+        retain_notice(id, change.read_at);
         remove(id);
     }
     for (const deployment::listed_target& target : change.targets) {
@@ -102,6 +112,9 @@
         state.rank = std::hash<std::string>()(options_.own_name + target.id.str());
     }
     state.listed = target;
+    if (!same_instance) {
+        restore_notice(state, read_at);
+    }
     if (target.remaining_cold_time > base::duration()) {
         state.cold_until = std::max(
             state.cold_until, read_at + target.remaining_cold_time + warmup_end_margin);
@@ -123,6 +136,35 @@
     targets_.erase(found);
 }
 
+void target_directory::retain_notice(const base::target_id& id, base::instant now)
+{
+    const auto found = targets_.find(id);
+    if (found == targets_.end()) {
+        return;
+    }
+    const target_state& target = found->second;
+    if (target.leaving || now < target.paused_until) {
+        retained_notices_[id] = {target.listed.address, target.leaving,
+                                 target.paused_until, now + notice_retention};
+    }
+}
+
+void target_directory::restore_notice(target_state& target, base::instant now)
+{
+    const auto found = retained_notices_.find(target.listed.id);
+    if (found == retained_notices_.end()) {
+        return;
+    }
+    if (found->second.address == target.listed.address) {
+        target.paused_until = found->second.paused_until;
+        target.leaving = found->second.leaving;
+        if (target.leaving) {
+            mark_unreachable(target, leaving_probe_delay, now);
+        }
+    }
+    retained_notices_.erase(found);
+}
+
 void target_directory::confirm_listing(base::instant read_at)
 {
     read_at_ = std::max(read_at_, read_at);
@@ -141,7 +183,7 @@
 bool target_directory::is_usable(const target_state& target, base::instant now) const
 {
     if (target.listed.draining || target.unreachable || now < target.cold_until ||
-        evacuated_.contains(target.listed.zone)) {
+        now < target.paused_until || evacuated_.contains(target.listed.zone)) {
         return false;
     }
     const auto restored = zone_restored_at_.find(target.listed.zone);
@@ -236,6 +278,8 @@
         ++result.listed;
         result.draining += target.listed.draining ? 1 : 0;
         result.unreachable += target.unreachable ? 1 : 0;
+        result.leaving += target.leaving ? 1 : 0;
+        result.paused += now < target.paused_until ? 1 : 0;
         result.cold += now < target.cold_until ? 1 : 0;
         result.evacuated += evacuated_.contains(target.listed.zone) ? 1 : 0;
     }
@@ -258,12 +302,47 @@
     }
 }
 
-void target_directory::mark_unreachable(target_state& target, base::instant now)
+bool target_directory::on_notice(const base::target_id& id, const target_notice& notice,
+                                 base::instant now)
+{
+    const auto found = targets_.find(id);
+    if (found == targets_.end() || notice.empty()) {
+        return false;
+    }
+    target_state& target = found->second;
+    const bool was_usable = is_usable(target, now);
+    target.paused_until = std::max(target.paused_until, now + notice.pause);
+    if (notice.leaving && !target.leaving) {
+        target.leaving = true;
+        mark_unreachable(target, leaving_probe_delay, now);
+    }
+    return was_usable;
+}
+
+std::optional<base::duration>
+target_directory::shortest_pause(const base::service_id& service, base::instant now) const
+{
+    std::optional<base::duration> shortest;
+    const auto listed = services_.find(service);
+    if (listed == services_.end()) {
+        return shortest;
+    }
+    for (const target_state* const target : listed->second.targets) {
+        if (now < target->paused_until && !target->unreachable) {
+            const base::duration pause = target->paused_until - now;
+            shortest = std::min(shortest.value_or(pause), pause);
+        }
+    }
+    return shortest;
+}
+
+void target_directory::mark_unreachable(target_state& target, base::duration probe_delay,
+                                        base::instant now)
 {
     if (!target.unreachable) {
         target.unreachable = true;
         unreachable_targets_.insert(target.listed.id);
-        target.probe_delay = first_probe_delay;
+        target.probe_delay = probe_delay;
         target.probe_at = now + target.probe_delay;
     }
 }
@@ -280,7 +359,7 @@
     record_sample(target, kind, latency, expected_latency);
     const base::duration half_life = services_[target.listed.service].half_life();
     if (target.estimate.on_answer(kind, latency, expected_latency, half_life, now)) {
-        mark_unreachable(target, now);
+        mark_unreachable(target, first_probe_delay, now);
     }
 }
 
@@ -390,7 +469,7 @@
     std::vector<base::target_id> due;
     for (const base::target_id& id : unreachable_targets_) {
         target_state& target = targets_.at(id);
-        if (target.probe_at <= now) {
+        if (target.probe_at <= now && target.paused_until <= now) {
             target.probe_delay = std::min(target.probe_delay * 2, max_probe_delay);
             target.probe_at = now + target.probe_delay;
             // A draining target gets no requests, so its health does not matter.
@@ -411,6 +490,7 @@
     }
     target_state& target = found->second;
     target.unreachable = false;
+    target.leaving = false;
     unreachable_targets_.erase(id);
     target.estimate.on_healthy();
     if (remaining_cold_time > base::duration()) {
--- a/curranthoist/forwarding/target_directory.hpp
+++ b/curranthoist/forwarding/target_directory.hpp
@@ -6,9 +6,11 @@
 #include "curranthoist/deployment/target_sample.hpp"
 #include "curranthoist/forwarding/response_kind.hpp"
 #include "curranthoist/forwarding/target_estimate.hpp"
+#include "curranthoist/forwarding/target_notice.hpp"
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -21,8 +23,9 @@
 //
 // The list says which targets exist, drain or are cold, and lags behind. What this VM
 // observes of a target can only take work away from it. A target that could not be
-// reached is used again only after its health endpoint has responded, because it may have
-// restarted cold under its old id.
+// reached, or that said that it is leaving, is used again only after its health endpoint
+// has responded, because it may have restarted cold under its old id. A newer list does
+// not undo what a target said of itself, since the list lags.
 class target_directory
 {
 public:
@@ -43,6 +46,8 @@
         std::size_t cold = 0;
         std::size_t evacuated = 0;
         std::size_t unreachable = 0;
+        std::size_t leaving = 0;
+        std::size_t paused = 0;
 
         [[nodiscard]] std::string text() const;
     };
@@ -84,6 +89,15 @@
     void on_answer(const base::target_id& id, response_kind kind, base::duration latency,
                    base::duration expected_latency, base::instant now);
 
+    // Records what a target said of itself in any answer. Returns true if that keeps it
+    // from requests which it would have got before.
+    bool on_notice(const base::target_id& id, const target_notice& notice,
+                   base::instant now);
+    // Returns the time until the first of the service's targets that want a pause takes
+    // requests again, or nothing if none of them wants a pause.
+    [[nodiscard]] std::optional<base::duration>
+    shortest_pause(const base::service_id& service, base::instant now) const;
+
     // Returns the targets to preconnect to now, at most `max_count`: one for each of the
     // services that has no free idle connection. Each call checks a part of the services
     // in turn. A target that closed a preconnection at once, which indicates that it has
@@ -132,11 +146,24 @@
         base::instant preconnected_at;
         base::instant preconnect_retry_at;
         base::duration preconnect_retry_delay;
+        // The target said that it is leaving. Implies `unreachable`.
+        bool leaving = false;
+        // The target wants no requests from this VM before.
+        base::instant paused_until;
         bool unreachable = false;
         base::instant probe_at;
         base::duration probe_delay;
     };
 
+    // What a target that is no longer listed said of itself.
+    struct retained_notice
+    {
+        base::endpoint address;
+        bool leaving = false;
+        base::instant paused_until;
+        base::instant expires_at;
+    };
+
     struct service_state
     {
         // The pointers are valid as long as the targets are listed.
@@ -153,6 +180,10 @@
     void record_sample(const target_state& target, response_kind kind,
                        base::duration latency, base::duration expected_latency);
     void remove(const base::target_id& id);
+    // Keeps what a target said of itself while it is not listed: a reading of several
+    // pages can miss a target that the next one lists again.
+    void retain_notice(const base::target_id& id, base::instant now);
+    void restore_notice(target_state& target, base::instant now);
     [[nodiscard]] bool is_usable(const target_state& target, base::instant now) const;
     [[nodiscard]] bool has_free_connection(const target_state& target) const
     {
@@ -162,7 +193,10 @@
     [[nodiscard]] double selection_cost(const target_state& target,
                                         base::duration half_life,
                                         base::instant now) const;
-    void mark_unreachable(target_state& target, base::instant now);
+    // Keeps the target from requests until its health is known; the first probe follows
+    // after `probe_delay`.
+    void mark_unreachable(target_state& target, base::duration probe_delay,
+                          base::instant now);
 
     options options_;
     bool has_listing_ = false;
@@ -171,6 +205,7 @@
     std::map<base::service_id, service_state> services_;
     // Targets that are marked unreachable.
     std::set<base::target_id> unreachable_targets_;
+    std::map<base::target_id, retained_notice> retained_notices_;
     std::set<base::target_id> suspects_;
     std::map<base::target_id, deployment::target_sample> samples_;
     // One of this many responses becomes a sample.
--- a/curranthoist/forwarding/target_directory_test.cpp
+++ b/curranthoist/forwarding/target_directory_test.cpp
@@ -82,6 +82,103 @@
     EXPECT_EQ(chosen(), "");
 }
 
+// Guards against requests to a target that has said that it is leaving, while the list,
+// which lags, still names it as ready.
+TEST_F(target_directory_test, a_target_that_says_it_is_leaving_gets_nothing)
+{
+    list({target("a"), target("b", "far")});
+    EXPECT_TRUE(directory_.on_notice(base::target_id("a"), {.leaving = true}, now_));
+    EXPECT_FALSE(directory_.on_notice(base::target_id("a"), {.leaving = true}, now_));
+    EXPECT_EQ(chosen(), "b");
+    advance(900);
+    list({target("a"), target("b", "far")});
+    EXPECT_EQ(chosen(), "b");
+    EXPECT_EQ(directory_.explain(service, now_).leaving, 1U);
+}
+
+// Guards against a leaving target that comes back because one reading of the list, which
+// has several pages, missed it.
+TEST_F(target_directory_test, a_gap_in_the_list_does_not_undo_a_notice)
+{
+    list({target("a"), target("b")});
+    directory_.on_notice(base::target_id("a"), {.leaving = true}, now_);
+    directory_.on_notice(base::target_id("b"), {.pause = duration(5000)}, now_);
+    advance(900);
+    list({});
+    advance(900);
+    list({target("a"), target("b")});
+    EXPECT_EQ(chosen(), "");
+    advance(3300);
+    EXPECT_EQ(chosen(), "b");
+}
+
+// Guards against another target at a new address that inherits what the former one of
+// that id said.
+TEST_F(target_directory_test, a_notice_ends_with_the_address)
+{
+    list({target("a")});
+    directory_.on_notice(base::target_id("a"), {.leaving = true}, now_);
+    auto moved = target("a");
+    moved.address.port = 9999;
+    list({moved});
+    EXPECT_EQ(chosen(), "a");
+}
+
+// Guards against a target that restarted under its id and is never used again, and
+// against probes of one that the list says is draining.
+TEST_F(target_directory_test, a_leaving_target_returns_once_its_health_says_so)
+{
+    list({target("a")});
+    directory_.on_notice(base::target_id("a"), {.leaving = true}, now_);
+    advance(3900);
+    EXPECT_TRUE(directory_.due_probes(now_).empty());
+    auto draining = target("a");
+    draining.draining = true;
+    list({draining});
+    advance(200);
+    EXPECT_TRUE(directory_.due_probes(now_).empty());
+    list({target("a")});
+    advance(5000);
+    EXPECT_EQ(directory_.due_probes(now_).size(), 1U);
+    directory_.on_healthy(base::target_id("a"), duration(1000), now_);
+    EXPECT_EQ(chosen(), "");
+    advance(1300);
+    EXPECT_EQ(chosen(), "a");
+}
+
+// Guards against requests, probes and preconnections to a target that wants none for a
+// while, and against a later notice that shortens the time.
+TEST_F(target_directory_test, a_target_that_wants_a_pause_gets_nothing_until_it_ends)
+{
+    const std::vector<base::service_id> services{service};
+    list({target("a")});
+    EXPECT_TRUE(
+        directory_.on_notice(base::target_id("a"), {.pause = duration(3000)}, now_));
+    directory_.on_notice(base::target_id("a"), {.pause = duration(500)}, now_);
+    send_and_respond("a", response_kind::unreachable, 0);
+    advance(2900);
+    EXPECT_EQ(chosen(), "");
+    EXPECT_EQ(directory_.explain(service, now_).paused, 1U);
+    EXPECT_TRUE(directory_.due_probes(now_).empty());
+    for (int i = 0; i < 8; ++i) {
+        EXPECT_TRUE(directory_.due_preconnections(services, 9, now_).empty());
+    }
+    advance(200);
+    EXPECT_EQ(directory_.due_probes(now_).size(), 1U);
+}
+
+// Guards against callers that are told to come back before any target takes requests.
+TEST_F(target_directory_test, the_shortest_pause_of_a_service_is_known)
+{
+    list({target("a"), target("b")});
+    EXPECT_FALSE(directory_.shortest_pause(service, now_));
+    directory_.on_notice(base::target_id("a"), {.pause = duration(3000)}, now_);
+    directory_.on_notice(base::target_id("b"), {.pause = duration(1000)}, now_);
+    advance(400);
+    EXPECT_EQ(directory_.shortest_pause(service, now_), duration(600));
+    EXPECT_FALSE(directory_.shortest_pause(base::service_id("other"), now_));
+}
+
 // Guards against traffic to an evacuated zone, and to targets of a restored zone that are
 // cold again before the list says so.
 TEST_F(target_directory_test, a_zone_returns_once_a_later_list_was_read)
--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -19,9 +19,9 @@
 // A partial response leaves this long before the objective: the way to the caller and
 // back, and the merge.
 constexpr base::duration soft_margin = 14_ms;
-// A caller whose request has not run comes back after this time; the fault that refused
-// it is seldom over sooner.
-constexpr base::duration retry_after = 50_ms;
+// A caller whose request has not run comes back after this time at the earliest; the
+// fault that refused it is seldom over sooner.
+constexpr base::duration min_retry_after = 50_ms;
 // A repeatable request is worth a log line for each send that is not the first.
 constexpr const char* first_send = "first";
 
@@ -192,6 +192,7 @@
     sent.response = platform::decode_target_result(std::move(result));
     const forwarding::response_kind kind = sent.response->kind;
     context_.directory.on_answer(sent.target, kind, took, latency_.usual(), now);
+    context_.on_notice(sent.target, sent.response->notice, now);
     context_.metrics
         .counter_named("curranthoist_target_answers_total", "Targets' answers by kind",
                        std::string("kind=\"") + forwarding::response_kind_name(kind) +
@@ -210,7 +211,8 @@
                           " kind=" + forwarding::response_kind_name(kind) +
                           " outcome=\"" + std::string(http::outcome_text(outcome)) +
                           "\" status=" + std::to_string(status) +
-                          " took_ms=" + std::to_string(took.count()));
+                          " took_ms=" + std::to_string(took.count()) + " pause_ms=" +
+                          std::to_string(sent.response->notice.pause.count()));
     }
     perform(run_->on_answer(call, kind, now));
 }
@@ -252,6 +254,16 @@
         forwarding::merge_records(bodies, route_.top_records));
 }
 
+base::duration caller_task::retry_after() const
+{
+    // A query goes to many services; the pause of one of them says little about it.
+    const auto pause =
+        route_.gathers()
+            ? std::nullopt
+            : context_.directory.shortest_pause(run_->service_of(0), clock_.now());
+    return std::max(pause.value_or(min_retry_after), min_retry_after);
+}
+
 void caller_task::finish(const forwarding::finish_action& action)
 {
     using forwarding::final_outcome;
@@ -277,7 +289,7 @@
     case final_outcome::refused:
         response =
             platform::own_response(status::service_unavailable,
-                                   "not run: no target can take it now", retry_after);
+                                   "not run: no target can take it now", retry_after());
         break;
     case final_outcome::failed:
         response = platform::own_response(
--- a/curranthoist/frontd/caller_task.hpp
+++ b/curranthoist/frontd/caller_task.hpp
@@ -72,6 +72,8 @@
     // Why the shards (or the one service) that got no send got none, for the log; empty
     // if each got one.
     [[nodiscard]] std::string shortages() const;
+    // When a caller whose request has not run may come back.
+    [[nodiscard]] base::duration retry_after() const;
     [[nodiscard]] http::caller_response gather(const forwarding::finish_action& action);
 
     task_context& context_;
--- a/curranthoist/frontd/task_context.hpp
+++ b/curranthoist/frontd/task_context.hpp
@@ -43,6 +43,24 @@
             limits == configuration.services.end() ? 1 : limits->second.max_connections;
         return pool.client(target.id, target.address, connection_share(connections));
     }
+    // Takes over what a target said of itself in an answer.
+    void on_notice(const base::target_id& target, const forwarding::target_notice& notice,
+                   base::instant now)
+    {
+        if (notice.empty()) {
+            return;
+        }
+        metrics
+            .counter_named("curranthoist_target_notices_total",
+                           "Answers in which a target leaves or wants a pause",
+                           notice.leaving ? "kind=\"leaving\"" : "kind=\"pause\"")
+            .add();
+        if (directory.on_notice(target, notice, now)) {
+            log.info("event=target_withdrawn target=" + target.str() +
+                     " leaving=" + (notice.leaving ? "true" : "false") +
+                     " pause_ms=" + std::to_string(notice.pause.count()));
+        }
+    }
     // This process's part of the connections that a target accepts.
     [[nodiscard]] std::size_t connection_share(std::size_t max_connections) const
     {
--- a/curranthoist/platform/caller_exchange.cpp
+++ b/curranthoist/platform/caller_exchange.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,8 @@
 constexpr std::string_view parts_header = "Part-Stamps";
 constexpr std::string_view missing_header = "Missing-Parts";
 constexpr std::string_view not_run_header = "Not-Executed";
+constexpr std::string_view leaving_header = "Server-Leaving";
+constexpr std::string_view retry_after_header = "Retry-After";
 
 // Headers that concern one connection, and those that this system sets itself.
 constexpr std::array<std::string_view, 12> connection_headers{
@@ -30,6 +33,10 @@
     "Content-Length",     "Expect",     "Date"};
 
 constexpr double longest_time_ms = 1e9;
+// A target that wants a longer pause is asked again after this time.
+constexpr base::duration max_pause{3'600'000};
+// A health answer is read for its headers.
+constexpr std::size_t max_health_bytes = std::size_t{64} * 1024;
 // A call outlives the time that its target was given by this much.
 constexpr base::duration connection_grace{100};
 
@@ -43,6 +50,39 @@
     return base::duration(static_cast<std::int64_t>(value));
 }
 
+// Returns the pause of a Retry-After in seconds, rounded up to a millisecond. A value
+// that can't be read asks for no pause.
+base::duration pause_of(std::string_view text)
+{
+    constexpr double milliseconds_per_second = 1000.0;
+    double seconds = 0;
+    const char* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, seconds);
+    // from_chars leaves the value alone if it is out of range.
+    if (parsed.ec != std::errc() || parsed.ptr != end || !(seconds > 0)) {
+        return base::duration();
+    }
+    const double limit = static_cast<double>(max_pause.count());
+    return base::duration(static_cast<std::int64_t>(
+        std::min(limit, std::ceil(seconds * milliseconds_per_second))));
+}
+
+forwarding::target_notice notice_of(const http::target_result& result)
+{
+    forwarding::target_notice notice;
+    if (result.outcome != http::call_outcome::ok) {
+        return notice;
+    }
+    const auto leaving = result.header(leaving_header);
+    notice.leaving = leaving && *leaving != "0";
+    const bool turned_away = result.status == http::status::service_unavailable ||
+                             result.status == http::status::too_many_requests;
+    if (const auto text = result.header(retry_after_header); text && turned_away) {
+        notice.pause = pause_of(*text);
+    }
+    return notice;
+}
+
 // Drops the headers of one connection, also those that Connection names.
 http::header_map end_to_end(http::header_map headers)
 {
@@ -163,6 +203,7 @@
     target_response response;
     response.signature = result.header(signature_header).value_or("");
     response.kind = kind_of(result, !response.signature.empty());
+    response.notice = notice_of(result);
     response.content = std::move(result);
     return response;
 }
@@ -223,6 +264,7 @@
     call.path = path;
     call.time_limit = limit;
     call.accept_unframed = true;
+    call.max_body_bytes = max_health_bytes;
     return call;
 }
 
@@ -232,7 +274,8 @@
     if (result.outcome != http::call_outcome::ok) {
         return answer;
     }
-    answer.healthy = result.status == http::status::ok;
+    answer.notice = notice_of(result);
+    answer.healthy = result.status == http::status::ok && !answer.notice.leaving;
     answer.instance = base::target_id(result.header("Instance-Id").value_or(""));
     if (const auto text = result.header("Cold-Milliseconds")) {
         answer.remaining_cold_time = milliseconds(*text).value_or(base::duration());
--- a/curranthoist/platform/caller_exchange.hpp
+++ b/curranthoist/platform/caller_exchange.hpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/duration.hpp"
 #include "curranthoist/base/identifiers.hpp"
 #include "curranthoist/forwarding/response_kind.hpp"
+#include "curranthoist/forwarding/target_notice.hpp"
 #include "curranthoist/http/caller_request.hpp"
 #include "curranthoist/http/caller_response.hpp"
 #include "curranthoist/http/target_call.hpp"
@@ -40,6 +41,7 @@
     forwarding::response_kind kind = forwarding::response_kind::unknown;
     // The target's signature of this response; empty if it gave none.
     std::string signature;
+    forwarding::target_notice notice;
     http::target_result content;
 };
 
@@ -75,6 +77,7 @@
     base::target_id instance;
     // How long it stays cold.
     base::duration remaining_cold_time;
+    forwarding::target_notice notice;
 };
 health_answer decode_health_answer(const http::target_result& result);
 
--- a/curranthoist/platform/caller_exchange_test.cpp
+++ b/curranthoist/platform/caller_exchange_test.cpp
@@ -135,6 +135,44 @@
     EXPECT_FALSE(own_response(502, "x", std::nullopt).headers.contains("Retry-After"));
 }
 
+// Guards against a leaving target that goes on getting requests, whatever it answered.
+TEST(caller_exchange_test, a_leaving_target_is_noticed_in_every_answer)
+{
+    for (const unsigned status : {200U, 404U, 500U, 503U}) {
+        EXPECT_TRUE(decode_target_result(whole(status, {{"Server-Leaving", "1"}}))
+                        .notice.leaving);
+    }
+    EXPECT_FALSE(decode_target_result(whole(200, {})).notice.leaving);
+    const health_answer health = decode_health_answer(
+        whole(200, {{"Instance-Id", "i-1"}, {"Server-Leaving", "1"}}));
+    EXPECT_FALSE(health.healthy);
+    EXPECT_TRUE(health.notice.leaving);
+    http::target_result broken = whole(200, {{"Server-Leaving", "1"}});
+    broken.outcome = http::call_outcome::truncated;
+    EXPECT_FALSE(decode_target_result(std::move(broken)).notice.leaving);
+}
+
+// Guards against a pause that is read in another unit, cut short, or longer than the day.
+TEST(caller_exchange_test, the_pause_that_a_target_wants_is_read)
+{
+    const auto pause = [](unsigned status, const std::string& value) {
+        return decode_target_result(
+                   whole(status, {{"Not-Executed", "1"}, {"Retry-After", value}}))
+            .notice.pause.count();
+    };
+    EXPECT_EQ(pause(503, "2"), 2000);
+    EXPECT_EQ(pause(503, "0.0015"), 2);
+    EXPECT_EQ(pause(429, "1.5"), 1500);
+    EXPECT_EQ(pause(503, "1e300"), 3'600'000);
+    EXPECT_EQ(pause(503, "99999999999"), 3'600'000);
+    for (const char* none :
+         {"0", "-1", "nan", "", "soon", "2s", "1e999", "Sat, 05 Dec 2026 07:00:00 GMT"}) {
+        EXPECT_EQ(pause(503, none), 0) << none;
+    }
+    EXPECT_EQ(pause(500, "2"), 0);
+    EXPECT_EQ(pause(200, "2"), 0);
+}
+
 // Guards against another target's health that is taken for this one's.
 TEST(caller_exchange_test, health_names_the_target_and_its_warm_up)
 {
--- a/curranthoist/testing/platform/stand_in_platform.cpp
+++ b/curranthoist/testing/platform/stand_in_platform.cpp
@@ -94,6 +94,18 @@
     on_loop([this, id, cold_ms] { targets_.at(id)->listed.cold_ms = cold_ms; });
 }
 
+void stand_in_platform::set_odd_entry(const std::string& bytes)
+{
+    on_loop([this, bytes] { odd_entry_ = bytes; });
+}
+
+std::size_t stand_in_platform::arrivals_at(const std::string& id) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = arrivals_.find(id);
+    return found == arrivals_.end() ? 0 : found->second;
+}
+
 void stand_in_platform::remove(const std::string& id)
 {
     on_loop([this, id] { targets_.erase(id); });
@@ -139,16 +151,25 @@
              {"state", one->listed.state},
              {"cold_remaining_ms", one->listed.cold_ms}});
     }
-    const nlohmann::json page{{"instances", entries}, {"next_page_token", nullptr}};
-    answer.respond({.body = page.dump()});
+    const std::string odd = odd_entry_.empty() ? "" : odd_entry_ + ",";
+    answer.respond({.body = R"({"instances":[)" + odd + entries.dump().substr(1) +
+                            R"(,"next_page_token":null})"});
 }
 
 void stand_in_platform::on_request(served_target& at, const http::caller_request& request,
                                    const http::responder& answer)
 {
     const std::string& id = at.listed.id;
+    {
+        const std::lock_guard lock(mutex_);
+        ++arrivals_[id];
+    }
+    const bool leaves = at.behaviour == target_behaviour::leaves;
     if (request.path == "/health") {
-        answer.respond({.headers = {{"Instance-Id", id}}, .body = "{}"});
+        answer.respond(
+            {.status = leaves ? http::status::service_unavailable : http::status::ok,
+             .headers = {{"Instance-Id", id}, {"Server-Leaving", leaves ? "1" : "0"}},
+             .body = "{}"});
         return;
     }
     if (request.header("Expected-Instance") != id) {
@@ -156,9 +177,14 @@
             {.status = http::status::misdirected, .headers = {{"Instance-Id", id}}});
         return;
     }
-    if (at.behaviour == target_behaviour::sheds) {
-        answer.respond({.status = http::status::service_unavailable,
-                        .headers = {{"Not-Executed", "1"}}});
+    if (at.behaviour == target_behaviour::sheds ||
+        at.behaviour == target_behaviour::wants_pause) {
+        http::caller_response refusal{.status = http::status::service_unavailable,
+                                      .headers = {{"Not-Executed", "1"}}};
+        if (at.behaviour == target_behaviour::wants_pause) {
+            refusal.headers.emplace("Retry-After", "2");
+        }
+        answer.respond(std::move(refusal));
         return;
     }
     const std::string attempt = request.header("Attempt-Id").value_or("");
@@ -209,10 +235,15 @@
         at.kept.push_back(answer);
     }
     else {
-        answer.respond({.status = fails ? failure_status : http::status::ok,
-                        .headers = {{"Server-Stamp", at.listed.id + "." + attempt},
-                                    {"Attempt-Id", attempt}},
-                        .body = fails ? "failed" : records_of(at.listed.service)});
+        http::caller_response response{
+            .status = fails ? failure_status : http::status::ok,
+            .headers = {{"Server-Stamp", at.listed.id + "." + attempt},
+                        {"Attempt-Id", attempt}},
+            .body = fails ? "failed" : records_of(at.listed.service)};
+        if (at.behaviour == target_behaviour::leaves) {
+            response.headers.emplace("Server-Leaving", "1");
+        }
+        answer.respond(std::move(response));
     }
 }
 
--- a/curranthoist/testing/platform/stand_in_platform.hpp
+++ b/curranthoist/testing/platform/stand_in_platform.hpp
@@ -27,6 +27,10 @@
     fails,
     // Says that it has not run the request.
     sheds,
+    // The same, and wants no requests for two seconds.
+    wants_pause,
+    // Answers, and says that it is leaving.
+    leaves,
     // Runs the request and closes the connection.
     loses_answers,
     // Runs the request and never answers.
@@ -75,12 +79,17 @@
     void set_behaviour(const std::string& id, target_behaviour behaviour);
     // How long the list says that the target stays cold.
     void set_cold(const std::string& id, unsigned cold_ms);
+    // Adds these bytes to the list as one more entry; an empty text adds none.
+    void set_odd_entry(const std::string& bytes);
     // The target ends: its connections close and the list no longer names it.
     void remove(const std::string& id);
     [[nodiscard]] std::vector<run> journal() const;
     // Runs of one attempt, over all targets.
     [[nodiscard]] std::size_t runs_of(const std::string& attempt) const;
 
+    // Requests that have reached the target, whatever came of them; health requests too.
+    [[nodiscard]] std::size_t arrivals_at(const std::string& id) const;
+
     // The number of calls of the list.
     [[nodiscard]] std::size_t list_calls() const { return list_calls_; }
 
@@ -109,6 +118,9 @@
 
     mutable std::mutex mutex_;
     std::vector<run> journal_;
+    std::map<std::string, std::size_t> arrivals_;
+    // Only for the serving thread.
+    std::string odd_entry_;
     // Outlives all that watches it.
     ev::dynamic_loop loop_;
     std::map<std::string, std::unique_ptr<served_target>> targets_;
--- a/curranthoist/testing/stand_in_target.hpp
+++ b/curranthoist/testing/stand_in_target.hpp
@@ -36,6 +36,13 @@
     stand_in_target(const stand_in_target&) = delete;
     stand_in_target& operator=(const stand_in_target&) = delete;
 
+    // Where it listens; the settings may leave the choice of ports to the kernel.
+    [[nodiscard]] const base::endpoint& local() const { return server_.local(); }
+    [[nodiscard]] const base::endpoint& admin_local() const
+    {
+        return admin_server_.local();
+    }
+
 private:
     using run_number = std::uint64_t;
 
--- a/curranthoist/testing/stand_in_target_test.cpp
+++ b/curranthoist/testing/stand_in_target_test.cpp
@@ -1,4 +1,3 @@
-#include "curranthoist/http/internal/listening_socket.hpp"
 #include "curranthoist/http/internal/raw_peer.hpp"
 #include "curranthoist/http/target_client.hpp"
 #include "curranthoist/testing/fault_parser.hpp"
@@ -12,8 +11,6 @@
 #include <string>
 #include <vector>
 
-#include <unistd.h>
-
 namespace curranthoist::testing {
 namespace {
 
@@ -28,26 +25,19 @@
 protected:
     stand_in_target_test()
     {
-        settings_.listen = free_endpoint();
-        settings_.admin_listen = free_endpoint();
+        settings_.listen = {"127.0.0.1", 0};
+        settings_.admin_listen = {"127.0.0.1", 0};
         settings_.id = "desk-3a";
         settings_.service = "desk";
         settings_.service_ms = 1;
         settings_.snapshots = {{7, 3, 20}};
     }
 
-    static base::endpoint free_endpoint()
-    {
-        const int listener = http::internal::open_listening_socket({"127.0.0.1", 0});
-        base::endpoint result = http::internal::bound_endpoint(listener);
-        ::close(listener);
-        return result;
-    }
     void start_target()
     {
         target_.emplace(loop_, settings_);
-        client_.emplace(loop_, settings_.listen, 16);
-        admin_.emplace(loop_, settings_.admin_listen, 1);
+        client_.emplace(loop_, target_->local(), 16);
+        admin_.emplace(loop_, target_->admin_local(), 1);
     }
     static target_call part(const std::string& id, const std::string& snapshot = "7")
     {
@@ -155,9 +145,9 @@
 {
     settings_.connections = 2;
     start_target();
-    const http::internal::raw_peer first(settings_.listen);
-    const http::internal::raw_peer second(settings_.listen);
-    http::internal::raw_peer third(settings_.listen);
+    const http::internal::raw_peer first(target_->local());
+    const http::internal::raw_peer second(target_->local());
+    http::internal::raw_peer third(target_->local());
     EXPECT_TRUE(run_until(loop_, [&] { return third.ended(); }));
     EXPECT_EQ(summary()["events"]["excess_connections"], 1);
     EXPECT_EQ(summary()["peak_connections"], 2);
