Expect named responses of the platform's targets only

Refusing a success without a name wherever an earlier response had one cut such requests as responses to another request.

Change: a call says whether its server names all of its responses; calls to the platform's targets do.

--- a/curranthoist/http/internal/response_reader.hpp
+++ b/curranthoist/http/internal/response_reader.hpp
@@ -27,8 +27,7 @@
     response_reader(const response_reader&) = delete;
     response_reader& operator=(const response_reader&) = delete;
 
-    // Refuses a success that names no request. A target that names the request in one
-    // response of a connection does so in all of them, so this is not the own response.
+    // Refuses a success that names no request.
     void require_id() { requires_id_ = true; }
 
     // Takes the next bytes. Returns the outcome once the response is complete or can't
--- a/curranthoist/http/target_call.hpp
+++ b/curranthoist/http/target_call.hpp
@@ -36,6 +36,9 @@
     // the same connection: a late second response comes before the own one. Otherwise
     // the first response that names another request ends the call.
     bool skips_other_responses = false;
+    // Refuses a success that names no request if an earlier response on its connection
+    // named one: it is a late copy of another.
+    bool expects_names = false;
     // Takes a body without length as whole if the target ends the connection in order.
     // Otherwise such a response counts as truncated.
     bool accept_unframed = false;
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -349,7 +349,7 @@
         connection.output = internal::request_text(call.call, remote_);
         connection.sent = 0;
         connection.reader.emplace(call.call, call.result, memory_);
-        if (connection.names_requests) {
+        if (call.call.expects_names && connection.names_requests) {
             connection.reader->require_id();
         }
         call.result.connection_was_new = connection.calls == 0;
--- a/curranthoist/http/target_client_test.cpp
+++ b/curranthoist/http/target_client_test.cpp
@@ -444,6 +444,27 @@
     EXPECT_EQ(server_.request_lines, 2);
 }
 
+// Guards against a late copy without a name that is taken for the next response, and
+// against a server that names some of its responses only and loses the others.
+TEST_F(target_client_test,
+       a_success_without_a_name_is_refused_only_where_names_are_expected)
+{
+    const auto answer = [this](const std::string& name_line) {
+        respond_with("HTTP/1.1 200 OK\r\n" + name_line + "Content-Length: 2\r\n\r\n{}");
+    };
+    for (const bool expects : {true, false}) {
+        answer("Request-Id: a\r\n");
+        const target_call asked{.headers = {{"Request-Id", "a"}},
+                                .expects_names = expects};
+        const target_result first = call(asked);
+        EXPECT_EQ(first.outcome, call_outcome::ok);
+        answer("");
+        const target_result second = call(asked);
+        EXPECT_EQ(second.connection, first.connection);
+        EXPECT_EQ(second.outcome, expects ? call_outcome::mismatched : call_outcome::ok);
+    }
+}
+
 // Guards against a request that is sent although its caller no longer waits: a busy
 // process can find a free connection and the end of the time limit in the same turn.
 TEST_F(target_client_test, a_waiting_call_whose_limit_has_passed_is_not_sent)
--- a/curranthoist/platform/caller_exchange.cpp
+++ b/curranthoist/platform/caller_exchange.cpp
@@ -195,6 +195,7 @@
     call.id_header = attempt_header;
     // A target's second response to an earlier request comes where the own one is due.
     call.skips_other_responses = true;
+    call.expects_names = true;
     call.accept_unframed = true;
     return call;
 }
