--- a/curranthoist/consensus/replica_schedule_test.cpp
+++ b/curranthoist/consensus/replica_schedule_test.cpp
@@ -58,10 +58,6 @@
 {
     static constexpr bool sync_before_acknowledge = false;
 };
-struct commit_old_terms_by_count : replica_rules
-{
-    static constexpr bool commit_own_term_only = false;
-};
 struct read_without_round : replica_rules
 {
     static constexpr bool read_needs_round = false;
--- a/curranthoist/consensus/replica_test.cpp
+++ b/curranthoist/consensus/replica_test.cpp
@@ -283,7 +283,8 @@
                 R"({"members": [{"id": "c1", "address": "127.0.0.1:1", "role": )") +
             role + R"(}], "outgoing": [], "replaced": "", "replacement": ""})";
         const std::vector<std::uint8_t> bytes(text.begin(), text.end());
-        EXPECT_THROW(membership::decode(bytes), base::findings_error) << role;
+        EXPECT_THROW(static_cast<void>(membership::decode(bytes)), base::findings_error)
+            << role;
     }
 }
 
--- a/curranthoist/testing/soak/soak_test.cpp
+++ b/curranthoist/testing/soak/soak_test.cpp
@@ -27,7 +27,6 @@
 constexpr std::size_t caller_threads = 4;
 constexpr base::duration contact_time{4000};
 constexpr base::duration recovery_limit{12'000};
-constexpr base::duration apply_time{3000};
 // From a list that shows a leaving target until it gets nothing, and for an evacuation.
 constexpr base::duration drain_limit{3000};
 constexpr base::duration evacuation_limit{5000};
