Fuzz the page of the list of targets and the answer to a health check

Cause: both come from other parties, and no fuzz target read them. Change: target_page_fuzz, seeded with odd entries of another writer between good ones, and health_answer_fuzz, seeded with the headers that the adapter reads and odd values of them.

--- a/curranthoist/testing/fuzz/seeds.cpp
+++ b/curranthoist/testing/fuzz/seeds.cpp
@@ -290,6 +290,39 @@
     return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
+// Statuses 200 and 503 with the headers that the adapter reads.
+inputs health_answer_inputs()
+{
+    const std::string healthy = std::string("\0\xC8", 2);
+    const std::string turned_away = std::string("\x01\xF7", 2);
+    return {bytes_of(healthy + "Instance-Id:i-1\nCold-Milliseconds:250\n"),
+            bytes_of(healthy + "Instance-Id:i-1\nServer-Leaving:1\n"),
+            bytes_of(healthy + "Cold-Milliseconds:1e999\nServer-Leaving:0\n"),
+            bytes_of(turned_away + "Retry-After:0.25\n"),
+            bytes_of(turned_away + "Retry-After:1e999\n"),
+            bytes_of(turned_away + "Retry-After:-1\n"),
+            bytes_of(turned_away + "Retry-After:Wed, 21 Oct 2026 07:28:00 GMT\n")};
+}
+
+// Pages with entries of another writer before, behind and between good ones.
+inputs target_page_inputs()
+{
+    constexpr std::size_t nested = 2000;
+    const std::string good =
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
+        R"("slots":2,"state":"ready","cold_remaining_ms":1500,"id":"i-1"})";
+    const auto page = [&good](const std::string& odd) {
+        return bytes_of(R"({"instances":[)" + good + "," + odd + "," + good +
+                        R"(],"next_page_token":"p-50"})");
+    };
+    return {page("7"),
+            page(std::string(nested, '[') + std::string(nested, ']')),
+            page(R"({"id":"i-2","slots":1e999,"address":"10.0.0.1:99999"})"),
+            page("\"\xFF\xFE\""),
+            page(R"({"id":"i-2)"),
+            bytes_of(R"({"next_page_token":null,"instances":[]})")};
+}
+
 } // namespace
 
 std::map<std::string, std::vector<std::vector<std::uint8_t>>>
@@ -312,12 +345,14 @@
             {"frame_fuzz",
              {frames(hello("vm1"), heartbeat(1), cancel),
               frames(heartbeat(1), wire::vote_reply_message{})}},
+            {"health_answer_fuzz", health_answer_inputs()},
             {"log_store_fuzz", log_store_inputs()},
             {"operator_api_fuzz", operator_inputs()},
             {"settings_fuzz",
              {file_content(examples + "/entry.toml"),
               file_content(examples + "/control.toml")}},
-            {"snapshot_fuzz", {deployed().snapshot()}}};
+            {"snapshot_fuzz", {deployed().snapshot()}},
+            {"target_page_fuzz", target_page_inputs()}};
 }
 
 } // namespace curranthoist::testing::fuzz
