Print what the processes wrote when a process test fails

Cause: the outputs were removed with the test's folder, so that a failure that showed once left nothing to trace it by. Change: process_fixture prints the last 6,000 bytes of each process's output if the test has failed.

--- a/curranthoist/testing/process_fixture.cpp
+++ b/curranthoist/testing/process_fixture.cpp
@@ -6,8 +6,10 @@
 
 #include <ev++.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <filesystem>
+#include <iostream>
 #include <optional>
 #include <system_error>
 
@@ -37,11 +39,25 @@
 
 process_fixture::~process_fixture()
 {
+    if (HasFailure()) {
+        print_outputs();
+    }
     children_.clear();
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
 }
 
+void process_fixture::print_outputs() const
+{
+    constexpr std::size_t max_bytes = 6000;
+    for (std::size_t i = 0; i < children_.size(); ++i) {
+        const std::string output = children_[i]->output();
+        const std::size_t begin = output.size() - std::min(output.size(), max_bytes);
+        std::cout << "--- end of the output of process " << i << ":\n"
+                  << output.substr(begin) << '\n';
+    }
+}
+
 std::string process_fixture::new_address()
 {
     return loopback_address(++last_address_);
--- a/curranthoist/testing/process_fixture.hpp
+++ b/curranthoist/testing/process_fixture.hpp
@@ -62,6 +62,9 @@
                                  base::duration limit = base::duration(10'000));
 
 private:
+    // Prints the end of what each process wrote.
+    void print_outputs() const;
+
     std::string folder_;
     unsigned last_address_ = 0;
     std::vector<std::unique_ptr<child_process>> children_;
