Tell rejected callers to come back as late as the shortage is old

Cause: a request that found no target was refused with one constant Retry-After of 50 ms. A client has few attempts (one retry on further/), so that a caller came back while the shortage still lasted and had lost its request.

Change: forwarding/return_schedule decides it without input or output: the age of the shortage, between 50 ms and a third of the time left, never less than what the targets themselves want, each caller at a place of its own at the interval of served requests, the more urgent first. The log line of the refusal has retry_after_ms.

--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -1,13 +1,11 @@
 #include "curranthoist/frontd/caller_task.hpp"
 
-#include "curranthoist/forwarding/record_merge.hpp"
 #include "curranthoist/frontd/gather_links.hpp"
 #include "curranthoist/frontd/task_context.hpp"
 #include "curranthoist/http/status.hpp"
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <utility>
 
 namespace curranthoist::frontd {
@@ -24,9 +22,6 @@
 constexpr base::duration soft_margin = 14_ms;
 // The same for a caller that made a connection first: the way there and back.
 constexpr base::duration handshake_margin = 6_ms;
-// A caller whose request has not run comes back after this time at the earliest; the
-// fault that refused it is seldom over sooner.
-constexpr base::duration min_retry_after = 50_ms;
 // A gatherer reports after the 95th percentile, at 0.4 of the objective at the latest.
 // One that has not reported at this part of the objective is lost or overloaded.
 constexpr double report_part_of_objective = 0.5;
@@ -138,7 +133,7 @@
 {
     const base::instant now = clock_.now();
     const deployment::listed_target* target = context_.directory.find(action.target);
-    target_send& sent = sends_[action.call];
+    target_send& sent = sends_.add(action.call);
     sent.shard = action.shard;
     sent.target = action.target;
     sent.sent = now;
@@ -161,8 +156,7 @@
 caller_task::start_group(const forwarding::gather_action& action)
 {
     const base::instant now = clock_.now();
-    const std::size_t index = groups_.size();
-    groups_.push_back({action.gatherer, 0, action.calls, now});
+    const std::size_t index = sends_.add_group({action.gatherer, 0, action.calls, now});
     wire::gather_request_message request;
     request.time_left_ms =
         static_cast<std::uint64_t>(std::max(hard_limit_ - now, 1_ms).count());
@@ -176,12 +170,12 @@
     request.top_records = static_cast<std::uint32_t>(route_.top_records);
     for (std::size_t i = 0; i < action.calls.size(); ++i) {
         request.services.push_back(run_->service_of(action.shards[i]).str());
-        target_send& sent = sends_[action.calls[i]];
+        target_send& sent = sends_.add(action.calls[i]);
         sent.shard = action.shards[i];
         sent.sent = now;
         sent.group = index;
     }
-    groups_[index].request = context_.gather->start(
+    sends_.group(index).request = context_.gather->start(
         action.gatherer, std::move(request),
         [weak = weak_from_this(), index](const wire::gather_report* report) {
             if (const auto self = weak.lock()) {
@@ -189,7 +183,7 @@
             }
         });
     std::vector<forwarding::request_action> following;
-    if (groups_[index].request == 0) {
+    if (sends_.group(index).request == 0) {
         for (const forwarding::call_id call : action.calls) {
             sends_.at(call).open = false;
             auto more =
@@ -216,7 +210,7 @@
         taken.signatures.push_back(part->signature()->str());
         if (sent.open) {
             sent.open = false;
-            sent.report = reports_.size();
+            sent.report = sends_.next_report();
             auto more = run_->on_answer(group.calls[part->shard()],
                                         forwarding::response_kind::success, clock_.now());
             std::move(more.begin(), more.end(), std::back_inserter(actions));
@@ -225,7 +219,7 @@
     if (report.records() != nullptr) {
         taken.records.assign(report.records()->begin(), report.records()->end());
     }
-    reports_.push_back(std::move(taken));
+    sends_.add_report(std::move(taken));
 }
 
 void caller_task::take_ungathered(const group_send& group,
@@ -270,7 +264,7 @@
     if (ended_) {
         return;
     }
-    group_send& group = groups_[group_index];
+    group_send& group = sends_.group(group_index);
     std::vector<forwarding::request_action> actions;
     if (report != nullptr) {
         group.reported = true;
@@ -299,7 +293,7 @@
 {
     const base::instant now = clock_.now();
     const base::duration limit = times(arrived_).report_limit;
-    for (group_send& group : groups_) {
+    for (group_send& group : sends_.groups()) {
         if (group.request != 0 && !group.reported && !group.overdue &&
             now - group.sent >= limit) {
             group.overdue = true;
@@ -310,16 +304,11 @@
 
 void caller_task::end_groups()
 {
-    for (group_send& group : groups_) {
+    for (group_send& group : sends_.groups()) {
         if (group.request == 0) {
             continue;
         }
-        const bool complete =
-            group.reported && std::none_of(group.calls.begin(), group.calls.end(),
-                                           [this](forwarding::call_id call) {
-                                               return sends_.at(call).open;
-                                           });
-        if (complete) {
+        if (sends_.is_complete(group)) {
             context_.gather->forget(group.request);
         }
         else {
@@ -354,12 +343,12 @@
 
 void caller_task::cancel(const forwarding::cancel_action& action)
 {
-    const auto found = sends_.find(action.call);
+    target_send* const found = sends_.find(action.call);
     // A gatherer ends its calls when this request ends.
-    if (found == sends_.end() || !found->second.open || found->second.group) {
+    if (found == nullptr || !found->open || found->group) {
         return;
     }
-    target_send& sent = found->second;
+    target_send& sent = *found;
     sent.open = false;
     const base::instant now = clock_.now();
     context_.directory.on_answer(sent.target, forwarding::response_kind::cancelled,
@@ -431,45 +420,18 @@
     timer_.start(std::max(wait, 1_ms).seconds());
 }
 
-http::caller_response caller_task::gather(const forwarding::finish_action& action)
-{
-    std::vector<std::string_view> signatures;
-    std::vector<std::string_view> bodies;
-    std::set<std::size_t> used_reports;
-    std::set<std::size_t> reported_shards;
-    for (const forwarding::call_id call : action.answers) {
-        const target_send& sent = sends_.at(call);
-        if (!sent.report || !used_reports.insert(*sent.report).second) {
-            continue;
-        }
-        // The records of a report belong to all of its parts, so that none can be left
-        // out, also if another target has answered for the shard since.
-        const gathered_parts& report = reports_[*sent.report];
-        signatures.insert(signatures.end(), report.signatures.begin(),
-                          report.signatures.end());
-        bodies.push_back(report.records);
-        reported_shards.insert(report.shards.begin(), report.shards.end());
-    }
-    for (const forwarding::call_id call : action.answers) {
-        const target_send& sent = sends_.at(call);
-        if (!sent.report && !reported_shards.contains(sent.shard)) {
-            signatures.push_back(sent.response->signature);
-            bodies.push_back(sent.response->content.body);
-        }
-    }
-    return platform::gathered_response(
-        signatures, run_->shard_count() - signatures.size(),
-        forwarding::merge_records(bodies, route_.top_records));
-}
-
-base::duration caller_task::retry_after() const
+base::duration caller_task::retry_after()
 {
+    const base::instant now = clock_.now();
+    forwarding::return_schedule::rejection caller;
+    caller.priority = route_.priority;
+    caller.time_left = hard_limit_ - now;
     // A query goes to many services; the pause of one of them says little about it.
-    const auto pause =
-        route_.gathers()
-            ? std::nullopt
-            : context_.directory.shortest_pause(run_->service_of(0), clock_.now());
-    return std::max(pause.value_or(min_retry_after), min_retry_after);
+    if (!route_.gathers()) {
+        caller.known_pause = context_.directory.shortest_pause(run_->service_of(0), now)
+                                 .value_or(base::duration());
+    }
+    return context_.returns.reserve(run_->service_of(0), caller, now);
 }
 
 void caller_task::finish(const forwarding::finish_action& action)
@@ -480,9 +442,11 @@
     switch (action.outcome) {
     case final_outcome::complete:
     case final_outcome::partial:
+        context_.returns.on_served(run_->service_of(0), clock_.now());
         response =
             route_.gathers()
-                ? gather(action)
+                ? sends_.gathered_response(action.answers, run_->shard_count(),
+                                           route_.top_records)
                 : platform::forward_response(*sends_.at(action.answers.front()).response);
         break;
     case final_outcome::target_failure: {
@@ -495,9 +459,10 @@
         break;
     }
     case final_outcome::refused:
+        told_pause_ = retry_after();
         response =
             platform::own_response(status::service_unavailable,
-                                   "not run: no target can take it now", retry_after());
+                                   "not run: no target can take it now", told_pause_);
         break;
     case final_outcome::failed:
         response = platform::own_response(
@@ -513,41 +478,14 @@
     end(forwarding::outcome_name(action.outcome), code, action.missing);
 }
 
-std::string caller_task::targets_without_answer() const
-{
-    // Bounds the line when a whole zone is gone.
-    constexpr std::size_t most_named = 6;
-    std::map<std::size_t, const target_send*> last;
-    for (const auto& [call, sent] : sends_) {
-        const target_send*& known = last[sent.shard];
-        const bool answered = known != nullptr && known->succeeded();
-        known = answered ? known : &sent;
-    }
-    std::string text;
-    std::size_t named = 0;
-    for (const auto& [shard, sent] : last) {
-        if (!sent->succeeded() && named++ < most_named) {
-            text += (text.empty() ? "" : ",") + run_->service_of(shard).str() + "@" +
-                    (sent->group && sent->target.empty()
-                         ? groups_[*sent->group].gatherer.str()
-                         : sent->target.str());
-        }
-    }
-    return text;
-}
-
 std::string caller_task::shortages() const
 {
     // Bounds the line when an index is gone.
     constexpr std::size_t most_named = 3;
-    std::vector<bool> sent(run_->shard_count(), false);
-    for (const auto& [call, one] : sends_) {
-        sent[one.shard] = true;
-    }
     std::string text;
     std::size_t named = 0;
-    for (std::size_t shard = 0; shard < sent.size(); ++shard) {
-        if (!sent[shard] && named++ < most_named) {
+    for (const std::size_t shard : sends_.unsent_shards(run_->shard_count())) {
+        if (named++ < most_named) {
             const base::service_id& service = run_->service_of(shard);
             text += (text.empty() ? "" : "; ") + service.str() + ": " +
                     context_.directory.explain(service, clock_.now()).text();
@@ -578,16 +516,20 @@
         "event=request_ended id=" + request_.attempt.str() + " route=" + route_.name +
         " version=" + std::to_string(table_->source().version) + " outcome=" + outcome +
         " status=" + std::to_string(status) + " took_ms=" + std::to_string(took.count()) +
-        " sends=" + std::to_string(sends_.size()) + " hedges=" + std::to_string(hedges_) +
-        " retries=" + std::to_string(retries_) + " missing=" + std::to_string(missing);
-    if (!groups_.empty()) {
-        line += " gatherers=" + std::to_string(groups_.size());
+        " sends=" + std::to_string(sends_.count()) +
+        " hedges=" + std::to_string(hedges_) + " retries=" + std::to_string(retries_) +
+        " missing=" + std::to_string(missing);
+    if (!sends_.groups().empty()) {
+        line += " gatherers=" + std::to_string(sends_.groups().size());
     }
     if (route_.gathers() && missing > 0) {
-        line += " without=" + targets_without_answer();
+        line += " without=" + sends_.targets_without_answer(*run_);
+    }
+    if (!route_.gathers() && sends_.count() > 0) {
+        line += " target=" + sends_.last_target().str();
     }
-    if (!route_.gathers() && !sends_.empty()) {
-        line += " target=" + sends_.rbegin()->second.target.str();
+    if (told_pause_) {
+        line += " retry_after_ms=" + std::to_string(told_pause_->count());
     }
     if (const std::string reasons = shortages(); !reasons.empty()) {
         line += " shortage=\"" + reasons + "\"";
--- a/curranthoist/frontd/caller_task.hpp
+++ b/curranthoist/frontd/caller_task.hpp
@@ -5,15 +5,14 @@
 #include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/deployment/route_table.hpp"
 #include "curranthoist/forwarding/request_attempts.hpp"
+#include "curranthoist/frontd/request_sends.hpp"
 #include "curranthoist/http/responder.hpp"
-#include "curranthoist/http/target_client.hpp"
 #include "curranthoist/platform/caller_exchange.hpp"
 #include "curranthoist/wire/frame_codec.hpp"
 
 #include <ev++.h>
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,44 +44,6 @@
     void start(end_handler on_end);
 
 private:
-    struct target_send
-    {
-        std::size_t shard = 0;
-        base::target_id target;
-        http::target_client::call_number number = 0;
-        base::instant sent;
-        bool open = true;
-        std::optional<platform::target_response> response;
-        // The gatherer that chooses the target, as an index of groups_, and the report
-        // that holds the part, as an index of reports_.
-        std::optional<std::size_t> group;
-        std::optional<std::size_t> report;
-
-        [[nodiscard]] bool succeeded() const
-        {
-            return report ||
-                   (response && response->kind == forwarding::response_kind::success);
-        }
-    };
-    // Shards that a gatherer sends.
-    struct group_send
-    {
-        base::vm_id gatherer;
-        // Number of the request at gather_links; 0 if it is not open.
-        std::uint64_t request = 0;
-        std::vector<forwarding::call_id> calls;
-        base::instant sent;
-        bool reported = false;
-        bool overdue = false;
-    };
-    // Parts that came together, with their greatest records.
-    struct gathered_parts
-    {
-        std::vector<std::size_t> shards;
-        std::vector<std::string> signatures;
-        std::string records;
-    };
-
     [[nodiscard]] forwarding::request_timing times(base::instant now) const;
     // Carries out the actions in order, and those that follow from them.
     void perform(std::vector<forwarding::request_action> actions);
@@ -103,20 +64,17 @@
     // One line for all sends of these actions that are not the first.
     void log_extra_sends(const std::vector<forwarding::request_action>& actions);
     void finish(const forwarding::finish_action& action);
-    void answer(const forwarding::finish_action& action);
     void on_result(forwarding::call_id call, http::target_result result);
     void on_caller_gone();
     void on_timer(ev::timer& watcher, int events);
     void schedule();
     void end(const char* outcome, unsigned status, std::size_t missing);
-    // The last target of each shard without a successful answer, for the log.
-    [[nodiscard]] std::string targets_without_answer() const;
     // Why the shards (or the one service) that got no send got none, for the log; empty
     // if each got one.
     [[nodiscard]] std::string shortages() const;
-    // When a caller whose request has not run may come back.
-    [[nodiscard]] base::duration retry_after() const;
-    [[nodiscard]] http::caller_response gather(const forwarding::finish_action& action);
+    // Takes a place for the caller, whose request has not run, and returns the time until
+    // then.
+    base::duration retry_after();
 
     task_context& context_;
     std::shared_ptr<const deployment::route_table> table_;
@@ -128,9 +86,9 @@
     base::instant hard_limit_;
     route_latency& latency_;
     std::optional<forwarding::request_attempts> run_;
-    std::map<forwarding::call_id, target_send> sends_;
-    std::vector<group_send> groups_;
-    std::vector<gathered_parts> reports_;
+    request_sends sends_;
+    // What a caller whose request has not run was told.
+    std::optional<base::duration> told_pause_;
     ev::timer timer_;
     end_handler on_end_;
     bool ended_ = false;
--- a/curranthoist/frontd/task_context.hpp
+++ b/curranthoist/frontd/task_context.hpp
@@ -5,6 +5,7 @@
 #include "curranthoist/base/random_source.hpp"
 #include "curranthoist/deployment/configuration.hpp"
 #include "curranthoist/forwarding/extra_send_budget.hpp"
+#include "curranthoist/forwarding/return_schedule.hpp"
 #include "curranthoist/forwarding/target_directory.hpp"
 #include "curranthoist/frontd/route_latency.hpp"
 #include "curranthoist/frontd/target_pool.hpp"
@@ -43,6 +44,8 @@
     std::string own_name = {};
     // The configuration in force; null before the first.
     std::shared_ptr<const deployment::configuration> configuration = nullptr;
+    // When callers come back whose requests have not run.
+    forwarding::return_schedule returns = {};
 
     // The client of a target, within this process's part of the connections that the
     // configuration allows.
