Let a learner vote, so that its leader is elected again after a power cut

Change: a replica votes if its own log names it, as a voter or as a learner; it stands only as a voter, and a candidate counts the voters of its own log, as before.

--- a/curranthoist/consensus/internal/replica_election.hpp
+++ b/curranthoist/consensus/internal/replica_election.hpp
@@ -133,7 +133,7 @@
     // cut off for a while can't end a working leader's term.
     const bool has_leader =
         is_leader() || now - leader_heard_ < options_.min_election_timeout;
-    return is_voter() && !has_leader && request.term > term_ && log_is_current(request);
+    return may_vote() && !has_leader && request.term > term_ && log_is_current(request);
 }
 
 template <class Rules>
@@ -157,10 +157,7 @@
     if (request.term > term_) {
         become_follower(request.term, {}, now);
     }
-    // The membership of this member's own log decides whether it is a voter. It need not
-    // know that the entry is committed: a candidate counts only the voters of its own
-    // log.
-    reply.granted = is_voter() && request.term == term_ && log_is_current(request) &&
+    reply.granted = may_vote() && request.term == term_ && log_is_current(request) &&
                     (voted_for_.empty() || voted_for_ == request.candidate);
     reply.term = term_;
     if (reply.granted) {
--- a/curranthoist/consensus/replica.hpp
+++ b/curranthoist/consensus/replica.hpp
@@ -120,6 +120,10 @@
 
     // Terms and votes (internal/replica_election.hpp).
     [[nodiscard]] bool is_voter() const { return members().is_voter(self_); }
+    // True for every member that this replica's own log names. A learner votes too: the
+    // entry that promotes it may not have reached it, and a candidate counts only the
+    // voters of its own log.
+    [[nodiscard]] bool may_vote() const { return members().find(self_) != nullptr; }
     void reset_election_deadline(base::instant now);
     void become_follower(base::term term, const base::member_id& leader,
                          base::instant now);
--- a/curranthoist/consensus/replica_test.cpp
+++ b/curranthoist/consensus/replica_test.cpp
@@ -43,6 +43,15 @@
         }
     }
 
+    // Restarts replicas 1, 2, ... with these states.
+    explicit replica_group(const std::vector<storage::recovered_log>& states)
+    {
+        for (const storage::recovered_log& state : states) {
+            const auto seed = static_cast<std::uint64_t>(replicas_.size() + 1);
+            replicas_.emplace_back(state, options_, seed, now_);
+        }
+    }
+
     basic_replica<Rules>& at(int number)
     {
         return replicas_[static_cast<std::size_t>(number - 1)];
@@ -251,6 +260,34 @@
     EXPECT_FALSE(group.at(1).is_leader());
 }
 
+// Guards against members that never elect a leader again: the only voter has added its
+// promotion of a learner to its log, and both were stopped before the learner had it.
+TEST(replica_test, a_learner_votes_for_the_leader_that_was_about_to_promote_it)
+{
+    const base::endpoint address{"127.0.0.1", 1};
+    const membership before(
+        {{id(1), address, member_role::voter}, {id(2), address, member_role::learner}});
+    using kind = membership_change::change_kind;
+    storage::recovered_log learner;
+    learner.identity = id(2);
+    learner.vote.term = base::term(1);
+    learner.entries = {first_log_entry(before)};
+    storage::recovered_log voter = learner;
+    voter.identity = id(1);
+    voter.entries.push_back(voter.entries.front());
+    voter.entries.back().index = voter.entries.front().index.next();
+    voter.entries.back().data = before.changed({kind::promote, id(2), {}, {}}).encode();
+
+    replica_group<replica_rules> group({voter, learner});
+    for (int i = 0; i < 30 && !group.at(1).is_leader(); ++i) {
+        group.advance(100_ms);
+        group.deliver([](int, int, const message_body&) { return true; });
+    }
+    EXPECT_TRUE(group.at(1).is_leader());
+    EXPECT_FALSE(group.at(2).is_leader());
+    EXPECT_EQ(group.checker().violation(), "");
+}
+
 // Guards against two disjoint quorums while one member replaces another.
 TEST(replica_test, replacement_needs_quorums_of_old_and_new_voters)
 {
