--- a/curranthoist/forwarding/return_schedule_test.cpp
+++ b/curranthoist/forwarding/return_schedule_test.cpp
@@ -79,7 +79,7 @@
     std::size_t callers = 0;
     std::size_t served = 0;
     std::size_t rejections = 0;
-    // The most callers that returned within 10 ms.
+    // The most callers that came in one millisecond.
     std::size_t largest_crowd = 0;
 };
 
