Review: use free ports and report a case that couldn't run as such

Cause: an exception in a script ended it with the status of a broken rule, and the ports were fixed.

Change: review/common takes 20 free ports and returns 2 for anything but a result; a SIGTERM ends the processes as well.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -91,4 +91,4 @@
     return 1 if twice or refused else 0
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(kit.run(main))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -123,4 +123,4 @@
     return 1 if len(lost) > 3 else 0
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(kit.run(main))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -96,4 +96,4 @@
     return 1 if late else 0
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(kit.run(main))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -78,4 +78,4 @@
     return 1 if status != 200 and answers[200] == 0 else 0
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(kit.run(main))
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -11,18 +11,54 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
 import tomllib
+import traceback
 
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-FRONT_PORT, CONTROL_PORT, READY_PORT, LIST_PORT = 8104, 8106, 8108, 8102
-INTERNAL_PORTS = (7380, 7395)
 HOST = "kitchen.example"
 PAGE_ENTRIES = 50
 
 
+def free_ports(count):
+    """The first of `count` ports in a row that nobody uses, below the ephemeral ones."""
+    while True:
+        first = random.randint(20000, 30000)
+        sockets = []
+        try:
+            for port in range(first, first + count):
+                sockets.append(socket.create_server(("127.0.0.1", port)))
+            return first
+        except OSError:
+            continue
+        finally:
+            for one in sockets:
+                one.close()
+
+
+FIRST_PORT = free_ports(20)
+FRONT_PORT, CONTROL_PORT, READY_PORT, LIST_PORT = range(FIRST_PORT, FIRST_PORT + 4)
+INTERNAL_PORTS = (FIRST_PORT + 4, FIRST_PORT + 19)
+
+
+def run(main):
+    """The exit status of a case: what main() returns, or 2 if it ended in any other way. A SIGTERM
+    ends it in order, so that the processes are ended too."""
+    async def cancellable():
+        task = asyncio.ensure_future(main())
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await task
+
+    try:
+        return asyncio.run(cancellable())
+    except BaseException:
+        traceback.print_exc()
+        return 2
+
+
 class Record:
     """The events of one run, in seconds since its start; written to a file at once."""
 
