--- a/review/5/case.py
+++ b/review/5/case.py
@@ -16,7 +16,6 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # lev-bayern.toml: srv_slow, at most x = 12.0 for 8.0 s and 0.4 of the backends; here it is one.
 SLOW_FACTOR, SLOW_FOR_S = 12.0, 8.0
-# The least share of a service of two backends.
 SLOW_AT_S, DRAIN_AT_S, ORDERS_UNTIL_S = 5.0, 5.5, 18.0
 # A backend that leaves serves a little longer than drain_timeout_ms, sometimes many seconds.
 EXTRA_SERVICE_S = 3.0
