Answer every request whose head was accepted

Cause: libmicrohttpd keeps a request's head and the response's head in one block of fixed size per connection, and closes the connection if the response does not fit. The block was 8 KiB larger than the longest head; each header takes 64 bytes besides its text, and cookies are copied.

Change: connection_memory computes what a head leaves free. The block is larger, a request that leaves too little is refused with 431 before it is handed over, and a response whose head does not fit becomes a 502. Query strings with more arguments than the block holds, on which the library went on parsing until the time-out, are refused with 431. The front follows the limits of the configuration in force and bounds the connections by a quarter of its memory.

Why it works: a request is handed over only if its response's reserve is free, and a response beyond what is free is replaced by one that fits.

--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -37,7 +37,11 @@
 constexpr base::duration connect_ahead_interval{100};
 // The services that need connections are determined once in this time.
 constexpr base::duration connected_services_interval{1000};
-constexpr unsigned max_caller_connections = 2500;
+constexpr std::size_t max_caller_connections = 2500;
+// The part of the process's memory that callers' connections may take.
+constexpr std::size_t caller_memory_divisor = 4;
+// Bodies are kept in memory, so that the operators' limit holds only below this one.
+constexpr std::size_t max_caller_body_bytes = std::size_t{1024} * 1024;
 // The part of the process's memory that the bodies of targets' responses may fill; their
 // buffers may take twice as much.
 constexpr std::size_t response_memory_divisor = 8;
@@ -61,6 +65,19 @@
             static_cast<std::uint16_t>(settings.first_internal_port + 1)};
 }
 
+http::caller_server_options caller_options(const platform::node_settings& settings)
+{
+    http::caller_server_options result;
+    result.listen = *settings.callers;
+    const std::size_t connections =
+        settings.memory_bytes / caller_memory_divisor /
+        http::caller_server::connection_bytes(result.max_header_bytes);
+    result.max_connections =
+        static_cast<unsigned>(std::min(connections, max_caller_connections));
+    result.idle_seconds = idle_seconds;
+    return result;
+}
+
 platform::node_settings checked(platform::node_settings settings)
 {
     base::findings found;
@@ -105,10 +122,7 @@
                                                       link_handlers());
     links_->offer_gathering(gather_endpoint(settings_));
     callers_ = std::make_unique<http::caller_server>(
-        loop_,
-        http::caller_server_options{.listen = *settings_.callers,
-                                    .max_connections = max_caller_connections,
-                                    .idle_seconds = idle_seconds},
+        loop_, caller_options(settings_),
         [this](http::caller_request request, http::responder answer) {
             on_request(std::move(request), std::move(answer));
         });
@@ -183,6 +197,9 @@
         const deployment::configuration& now = configuration_.current()->source();
         context_.configuration = std::shared_ptr<const deployment::configuration>(
             configuration_.current(), &now);
+        callers_->set_request_limits(
+            now.limits.max_header_bytes,
+            std::min(now.limits.max_body_bytes, max_caller_body_bytes));
         log_.info("event=configuration_in_force version=" + std::to_string(now.version) +
                   " routes=" + std::to_string(now.routes.size()));
     }
--- a/curranthoist/http/caller_server.cpp
+++ b/curranthoist/http/caller_server.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/http/caller_server.hpp"
 
+#include "curranthoist/http/internal/connection_memory.hpp"
 #include "curranthoist/http/internal/exchange.hpp"
 #include "curranthoist/http/internal/listening_socket.hpp"
 #include "curranthoist/http/internal/response_builder.hpp"
@@ -21,12 +22,10 @@
 
 namespace {
 
+using internal::connection_memory;
 using internal::exchange;
 using internal::exchange_phase;
 
-// What libmicrohttpd needs of a connection's memory besides the request's headers: the
-// response's headers and its own records.
-constexpr std::size_t connection_memory_overhead = std::size_t{8} * 1024;
 // How much of a body over the limit is read, so that a caller that is still sending sees
 // the refusal rather than a reset.
 constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
@@ -63,6 +62,12 @@
     return info == nullptr ? 0 : info->header_size;
 }
 
+std::size_t value_count(MHD_Connection* connection, MHD_ValueKind kind)
+{
+    return static_cast<std::size_t>(
+        std::max(0, MHD_get_connection_values(connection, kind, nullptr, nullptr)));
+}
+
 int descriptor_of(MHD_Connection* connection)
 {
     const MHD_ConnectionInfo* info =
@@ -70,6 +75,17 @@
     return info == nullptr ? -1 : info->connect_fd;
 }
 
+// The bytes of the response's header lines.
+std::size_t head_bytes(const caller_response& answer)
+{
+    constexpr std::size_t separators = std::string_view(": \r\n").size();
+    std::size_t sum = 0;
+    for (const auto& [name, value] : answer.headers) {
+        sum += name.size() + value.size() + separators;
+    }
+    return sum;
+}
+
 bool is_live(int descriptor)
 {
     tcp_info info{};
@@ -84,6 +100,7 @@
                              request_handler on_request)
     : loop_(loop)
     , options_(std::move(options))
+    , block_bytes_(connection_bytes(options_.max_header_bytes))
     , on_request_(std::move(on_request))
     , listener_(internal::open_listening_socket(options_.listen))
     , local_(internal::bound_endpoint(listener_))
@@ -124,10 +141,9 @@
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, &accept_callback, this,
         &access_callback, this, MHD_OPTION_LISTEN_SOCKET, listener_,
         MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-        options_.max_header_bytes + connection_memory_overhead,
-        MHD_OPTION_CONNECTION_TIMEOUT, options_.idle_seconds, MHD_OPTION_URI_LOG_CALLBACK,
-        &target_callback, this, MHD_OPTION_NOTIFY_COMPLETED, &completed_callback, this,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, block_bytes_, MHD_OPTION_CONNECTION_TIMEOUT,
+        options_.idle_seconds, MHD_OPTION_URI_LOG_CALLBACK, &target_callback, this,
+        MHD_OPTION_NOTIFY_COMPLETED, &completed_callback, this,
         MHD_OPTION_NOTIFY_CONNECTION, &connection_callback, this, MHD_OPTION_END);
     if (daemon_ == nullptr) {
         ::close(listener_);
@@ -139,6 +155,18 @@
     close_watcher_.start(close_epoll_, ev::READ);
 }
 
+std::size_t caller_server::connection_bytes(std::size_t max_header_bytes)
+{
+    return connection_memory::block_bytes(max_header_bytes);
+}
+
+void caller_server::set_request_limits(std::size_t max_header_bytes,
+                                       std::size_t max_body_bytes)
+{
+    options_.max_header_bytes = max_header_bytes;
+    options_.max_body_bytes = max_body_bytes;
+}
+
 void caller_server::run_daemon()
 {
     MHD_run(daemon_);
@@ -294,7 +322,23 @@
 void* caller_server::target_callback(void* self, const char* target,
                                      MHD_Connection* connection)
 {
-    static_cast<caller_server*>(self)->targets_[connection] = target;
+    auto& server = *static_cast<caller_server*>(self);
+    server.targets_[connection] = target;
+    const std::string_view text = target;
+    const auto arguments =
+        static_cast<std::size_t>(std::count(text.begin(), text.end(), '&') +
+                                 std::count(text.begin(), text.end(), '?'));
+    // The library would go on parsing them until the connection times out.
+    if (connection_memory(server.block_bytes_).left_beside(text.size(), 0, arguments) <
+        connection_memory::response_reserve) {
+        constexpr std::string_view refused =
+            "HTTP/1.1 431 Request Header Fields Too Large"
+            "\r\nConnection: close\r\n"
+            "Content-Length: 0\r\n\r\n";
+        const int descriptor = descriptor_of(connection);
+        ::send(descriptor, refused.data(), refused.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        ::shutdown(descriptor, SHUT_RDWR);
+    }
     return nullptr;
 }
 
@@ -332,7 +376,9 @@
                               &request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect_argument,
                               &request.arguments);
-    if (header_bytes(connection) > options_.max_header_bytes) {
+    current->response_head_room = room_for_response_head(connection, request);
+    if (header_bytes(connection) > options_.max_header_bytes ||
+        current->response_head_room < connection_memory::response_reserve) {
         return refuse_early(connection, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
                             "the request's headers are too long");
     }
@@ -348,6 +394,19 @@
     return MHD_YES;
 }
 
+std::size_t caller_server::room_for_response_head(MHD_Connection* connection,
+                                                  const caller_request& request) const
+{
+    const auto cookie = request.headers.find(std::string_view(MHD_HTTP_HEADER_COOKIE));
+    const std::size_t cookie_bytes =
+        cookie == request.headers.end() ? 0 : cookie->second.size();
+    constexpr auto all_kinds = static_cast<MHD_ValueKind>(
+        MHD_HEADER_KIND | MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND);
+    return connection_memory(block_bytes_)
+        .left_beside(header_bytes(connection), cookie_bytes,
+                     value_count(connection, all_kinds));
+}
+
 MHD_Result caller_server::continue_exchange(exchange& current, const char* data,
                                             std::size_t* size)
 {
@@ -380,9 +439,16 @@
         suspend(current);
         return MHD_YES;
     }
-    return current.phase == exchange_phase::answered
+    if (current.phase != exchange_phase::answered) {
+        return MHD_NO;
+    }
+    // The library would close the connection without a response. The request has run.
+    return head_bytes(*current.response) <= current.response_head_room
                ? queue_response(current.connection(), *current.response)
-               : MHD_NO;
+               : queue_response(current.connection(),
+                                {.status = MHD_HTTP_BAD_GATEWAY,
+                                 .body = R"({"error":"the headers of the response )"
+                                         R"(are too long"})"});
 }
 
 void caller_server::deliver(exchange& current)
--- a/curranthoist/http/caller_server.hpp
+++ b/curranthoist/http/caller_server.hpp
@@ -52,6 +52,14 @@
     caller_server(const caller_server&) = delete;
     caller_server& operator=(const caller_server&) = delete;
 
+    // The memory that one connection takes from its first request on, if the server is
+    // made for heads of `max_header_bytes`.
+    [[nodiscard]] static std::size_t connection_bytes(std::size_t max_header_bytes);
+
+    // Changes the limits for the requests that begin from now on. A head that leaves no
+    // room for its response in the connection's memory, whose size stays as it is, is
+    // refused with 431 also below the limit.
+    void set_request_limits(std::size_t max_header_bytes, std::size_t max_body_bytes);
     // Replaces the filter of new connections; empty accepts all.
     void set_accept_filter(accept_filter filter) { accept_filter_ = std::move(filter); }
     void set_connection_handler(connection_handler handler)
@@ -116,6 +124,9 @@
 
     MHD_Result begin_exchange(MHD_Connection* connection, const char* url,
                               const char* method, void** context);
+    // The bytes that the header lines of the response may have.
+    [[nodiscard]] std::size_t room_for_response_head(MHD_Connection* connection,
+                                                     const caller_request& request) const;
     MHD_Result continue_exchange(internal::exchange& current, const char* data,
                                  std::size_t* size);
     MHD_Result finish_exchange(internal::exchange& current);
@@ -129,6 +140,8 @@
 
     ev::loop_ref loop_;
     caller_server_options options_;
+    // The memory of each connection.
+    std::size_t block_bytes_;
     request_handler on_request_;
     accept_filter accept_filter_;
     connection_handler on_connection_;
--- a/curranthoist/http/caller_server_test.cpp
+++ b/curranthoist/http/caller_server_test.cpp
@@ -18,6 +18,65 @@
 constexpr const char* get_request = "GET /a?x=1%202&y HTTP/1.1\r\nHost: h\r\n"
                                     "REQUEST-ID: r1\r\n\r\n";
 
+// Ways to fill the head of a request, which cost the server different amounts of memory.
+enum class head_shape
+{
+    one_cookie,
+    many_cookies,
+    usual_headers,
+    short_headers,
+    query_arguments,
+};
+
+constexpr std::size_t usual_header_bytes = 60;
+constexpr std::size_t short_header_bytes = 12;
+
+// Returns a request whose line and header lines have `size` bytes.
+std::string request_with_head(head_shape shape, std::size_t size)
+{
+    std::string target = "/a";
+    std::string headers = "Host: h\r\n";
+    const auto rest = [&] {
+        const std::size_t used =
+            std::string("GET  HTTP/1.1\r\n\r\n").size() + target.size() + headers.size();
+        return size > used ? size - used : 0;
+    };
+    const auto fill = [&rest](std::string& text, std::string_view piece) {
+        while (rest() > 0) {
+            text += piece.substr(0, rest());
+        }
+    };
+    switch (shape) {
+    case head_shape::one_cookie:
+    case head_shape::many_cookies: {
+        std::string& text = headers;
+        text += "Cookie: a=\r\n";
+        std::string value;
+        const std::size_t room = rest();
+        while (value.size() < room) {
+            value += shape == head_shape::one_cookie ? "c" : "c;d=";
+        }
+        text.insert(text.size() - 2, value.substr(0, room));
+        break;
+    }
+    case head_shape::usual_headers:
+    case head_shape::short_headers: {
+        const std::size_t line =
+            shape == head_shape::usual_headers ? usual_header_bytes : short_header_bytes;
+        for (std::size_t number = 0; rest() >= line; ++number) {
+            const std::string name = "h" + std::to_string(number);
+            headers += name + ":" + std::string(line - name.size() - 3, 'v') + "\r\n";
+        }
+        break;
+    }
+    case head_shape::query_arguments:
+        target += "?";
+        fill(target, "a=1&");
+        break;
+    }
+    return "GET " + target + " HTTP/1.1\r\n" + headers + "\r\n";
+}
+
 class caller_server_test : public testing::Test
 {
 protected:
@@ -51,6 +110,21 @@
         return reads(peer, "200 OK");
     }
 
+    // Sends a small request and then this one on the same connection, and returns what
+    // came back for this one; nothing if the connection ended instead.
+    std::string answer_on_kept_connection(const std::string& request)
+    {
+        raw_peer peer(server_->local());
+        peer.send(get_request);
+        EXPECT_TRUE(reads(peer, "{}"));
+        const std::size_t first = peer.read().size();
+        peer.send(request);
+        run_until(loop_, [&] {
+            return peer.read().find("\r\n", first) != std::string::npos || peer.ended();
+        });
+        return peer.read().substr(first);
+    }
+
     // Asks once, from another thread. Returns false once no connection can be made; a
     // connection that is made and ends without a response counts as broken.
     static bool ask_on_new_connection(const base::endpoint& remote,
@@ -168,6 +242,85 @@
     EXPECT_TRUE(still_serves());
 }
 
+// Guards against a request that runs and whose connection is closed without an answer,
+// because its head has used up the memory that the answer's head needs.
+TEST_F(caller_server_test, a_request_that_reaches_the_handler_is_answered)
+{
+    constexpr std::size_t first_size = 1000;
+    constexpr std::size_t step = 769;
+    constexpr std::size_t long_answer_head = 40'000;
+    constexpr std::string_view refused = "HTTP/1.1 431 ";
+    std::string answer_header;
+    server_.emplace(loop_, options_, [&](caller_request request, responder answer) {
+        const bool small = request.header("request-id").has_value();
+        requests_.push_back(std::move(request));
+        caller_response response{.body = "{}"};
+        response.headers.emplace("Parts", small ? "" : answer_header);
+        answer.respond(std::move(response));
+    });
+    for (const std::size_t answer_bytes : {std::size_t{100}, long_answer_head}) {
+        answer_header.assign(answer_bytes, 'p');
+        for (const head_shape shape :
+             {head_shape::one_cookie, head_shape::many_cookies, head_shape::usual_headers,
+              head_shape::short_headers, head_shape::query_arguments}) {
+            for (std::size_t size = first_size; size <= options_.max_header_bytes;
+                 size += step) {
+                requests_.clear();
+                const std::string answer =
+                    answer_on_kept_connection(request_with_head(shape, size));
+                const bool delivered = requests_.size() > 1;
+                const std::string where =
+                    "shape " + std::to_string(static_cast<int>(shape)) + ", head of " +
+                    std::to_string(size) + " bytes, answer's of " +
+                    std::to_string(answer_bytes);
+                EXPECT_TRUE(answer.starts_with("HTTP/1.1 "))
+                    << where << ": " << answer.substr(0, 40);
+                EXPECT_EQ(answer.starts_with(refused), !delivered) << where;
+            }
+        }
+    }
+}
+
+// Guards against a 431 to a request that keeps the limit.
+TEST_F(caller_server_test, heads_up_to_the_limit_are_answered)
+{
+    constexpr std::size_t step = 769;
+    // The names of the parts of a query over 270 shards.
+    const std::string answer_header(8000, 'p');
+    server_.emplace(loop_, options_, [&](const caller_request&, const responder& answer) {
+        caller_response response{.body = "{}"};
+        response.headers.emplace("Parts", answer_header);
+        answer.respond(std::move(response));
+    });
+    for (const head_shape shape : {head_shape::one_cookie, head_shape::usual_headers}) {
+        for (std::size_t size = options_.max_header_bytes; size > step; size -= step) {
+            EXPECT_NE(
+                answer_on_kept_connection(request_with_head(shape, size)).find(" 200 "),
+                std::string::npos)
+                << "shape " << static_cast<int>(shape) << ", head of " << size
+                << " bytes";
+        }
+    }
+}
+
+// Guards against a limit of the operators that the server does not follow.
+TEST_F(caller_server_test, limits_can_be_changed_while_it_runs)
+{
+    constexpr std::size_t raised = 32'000;
+    answer_at_once_ = true;
+    start();
+    const std::string request = request_with_head(head_shape::one_cookie, 20'000);
+    EXPECT_NE(answer_on_kept_connection(request).find(" 431 "), std::string::npos);
+    server_->set_request_limits(raised, options_.max_body_bytes);
+    EXPECT_NE(answer_on_kept_connection(request).find(" 200 "), std::string::npos);
+    server_->set_request_limits(1000, 10);
+    EXPECT_NE(answer_on_kept_connection(request).find(" 431 "), std::string::npos);
+    EXPECT_NE(answer_on_kept_connection("POST /a HTTP/1.1\r\nHost: h\r\n"
+                                        "Content-Length: 11\r\n\r\n12345678901")
+                  .find(" 413 "),
+              std::string::npos);
+}
+
 TEST_F(caller_server_test, a_close_is_seen_while_the_answer_is_outstanding)
 {
     start();
--- a/curranthoist/http/internal/exchange.hpp
+++ b/curranthoist/http/internal/exchange.hpp
@@ -47,6 +47,8 @@
     std::function<void()> on_close;
     bool suspended = false;
     std::size_t discarded_bytes = 0;
+    // The bytes that the header lines of the response may have.
+    std::size_t response_head_room = 0;
 
     bool respond(caller_response answer);
     // Closes the connection without a response unless the request was answered.
