Refuse JSON texts of other parties that are nested deeply

Callers saw: each process of the core ended again and again for 30 s, with what it had in flight, because an operator sent one invalid configuration to one after the other.

Cause: the decoder copied a field's value before it looked at its type. Copying a JSON value takes a stack frame for each level, and the value was 400,000 levels deep.

Change: base::parse_json discards texts nested more than 32 levels deep before they are parsed, and is used for every document that another party writes. The copies in the configuration decoder are gone.

Why it works: no value exists whose copying, printing or comparing could use up the stack.

--- a/curranthoist/consensus/membership.cpp
+++ b/curranthoist/consensus/membership.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/consensus/membership.hpp"
 
 #include "curranthoist/base/findings_error.hpp"
+#include "curranthoist/base/parse_json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -200,7 +201,8 @@
 membership membership::decode(std::span<const std::uint8_t> bytes)
 {
     try {
-        const json value = json::parse(bytes.begin(), bytes.end());
+        const json value =
+            base::parse_json({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
         membership result;
         for (const json& one : value.at("members")) {
             result.members_.push_back(decode_member(one));
--- a/curranthoist/controld/operator_api.cpp
+++ b/curranthoist/controld/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/controld/operator_api.hpp"
 
+#include "curranthoist/base/parse_json.hpp"
 #include "curranthoist/control/cluster_state.hpp"
 #include "curranthoist/control/commands.hpp"
 #include "curranthoist/control/controller.hpp"
@@ -39,9 +40,9 @@
 
 json parse(std::string_view body, base::findings& found)
 {
-    json value = json::parse(body, nullptr, false);
+    json value = base::parse_json(body);
     if (value.is_discarded()) {
-        found.add("body", "is not JSON");
+        found.add("body", "is not JSON, or is nested too deeply");
     }
     return value;
 }
--- a/curranthoist/cored/founding_api.cpp
+++ b/curranthoist/cored/founding_api.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/cored/founding_api.hpp"
 
+#include "curranthoist/base/parse_json.hpp"
 #include "curranthoist/cored/founder_choice.hpp"
 #include "curranthoist/http/status.hpp"
 
@@ -11,7 +12,7 @@
 
 std::optional<base::endpoint> endpoint_in(const std::string& body, const char* name)
 {
-    const auto fields = nlohmann::json::parse(body, nullptr, false);
+    const auto fields = base::parse_json(body);
     if (!fields.is_object() || !fields.contains(name) || !fields[name].is_string()) {
         return std::nullopt;
     }
--- a/curranthoist/cored/join_client.cpp
+++ b/curranthoist/cored/join_client.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/cored/join_client.hpp"
 
+#include "curranthoist/base/parse_json.hpp"
 #include "curranthoist/http/status.hpp"
 
 #include <nlohmann/json.hpp>
@@ -35,7 +36,7 @@
 
 std::optional<join_client::application> join_client::decode(const std::string& body)
 {
-    const auto fields = nlohmann::json::parse(body, nullptr, false);
+    const auto fields = base::parse_json(body);
     if (!fields.is_object() || !fields.contains("id") || !fields["id"].is_string() ||
         !fields.contains("address") || !fields["address"].is_string()) {
         return std::nullopt;
--- a/curranthoist/ctl/commands.cpp
+++ b/curranthoist/ctl/commands.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/ctl/commands.hpp"
 
+#include "curranthoist/base/parse_json.hpp"
 #include "curranthoist/ctl/intent_source.hpp"
 #include "curranthoist/ctl/text_views.hpp"
 
@@ -53,7 +54,7 @@
         failed = exit_code::unavailable;
         return std::nullopt;
     }
-    json value = json::parse(response->body, nullptr, false);
+    json value = base::parse_json(response->body);
     if (response->status == ok && !value.is_discarded()) {
         return value;
     }
--- a/curranthoist/ctl/intent_source.cpp
+++ b/curranthoist/ctl/intent_source.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/ctl/intent_source.hpp"
 
 #include "curranthoist/base/findings_error.hpp"
+#include "curranthoist/base/parse_json.hpp"
 #include "curranthoist/base/wall_clock.hpp"
 
 #include <fstream>
@@ -22,9 +23,9 @@
 
 json parse(const std::string& place, const std::string& text)
 {
-    json value = json::parse(text, nullptr, false);
+    json value = base::parse_json(text);
     if (value.is_discarded()) {
-        refuse(place, "is not JSON");
+        refuse(place, "is not JSON, or is nested too deeply");
     }
     return value;
 }
@@ -47,7 +48,7 @@
 // Numbers and booleans keep their JSON type; everything else is text.
 json value_of(const std::string& text)
 {
-    json value = json::parse(text, nullptr, false);
+    json value = base::parse_json(text);
     const bool typed = value.is_number() || value.is_boolean();
     return typed ? value : json(text);
 }
--- a/curranthoist/entry/answer_check_test.cpp
+++ b/curranthoist/entry/answer_check_test.cpp
@@ -117,5 +117,14 @@
     }
 }
 
+// Guards against a target whose status report ends this process: reading the snapshots
+// copies them, which takes a stack frame for each level of their nesting.
+TEST(status_report_test, refuses_a_report_that_is_nested_too_deeply)
+{
+    constexpr std::size_t depth = 1'000'000;
+    EXPECT_FALSE(parse_status(R"({"boot_id":"b","draining":true,"snapshots":[)" +
+                              std::string(depth, '[') + std::string(depth, ']') + "]}"));
+}
+
 } // namespace
 } // namespace curranthoist::entry
--- a/curranthoist/entry/status_report.cpp
+++ b/curranthoist/entry/status_report.cpp
@@ -1,5 +1,7 @@
 #include "curranthoist/entry/status_report.hpp"
 
+#include "curranthoist/base/parse_json.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <limits>
@@ -38,7 +40,7 @@
 
 std::optional<status_report> parse_status(std::string_view body)
 {
-    const json value = json::parse(body, nullptr, false);
+    const json value = base::parse_json(body);
     if (!value.is_object() || !value.contains("boot_id") || !value.contains("draining") ||
         !value["boot_id"].is_string() || !value["draining"].is_boolean()) {
         return std::nullopt;
--- a/curranthoist/platform/configuration_document.cpp
+++ b/curranthoist/platform/configuration_document.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/platform/configuration_document.hpp"
 
 #include "curranthoist/base/findings_error.hpp"
+#include "curranthoist/base/parse_json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -152,9 +153,11 @@
         limits.cold_requests_per_second = fields.number("cold_per_s", 0);
         result_.services[base::service_id(fields.text("name"))] = limits;
     }
-    base::service_id known_service(const json& name, const std::string& place)
+    // `name` is null if the field is missing.
+    base::service_id known_service(const json* name, const std::string& place)
     {
-        base::service_id id(name.is_string() ? name.get<std::string>() : "");
+        base::service_id id(
+            name != nullptr && name->is_string() ? name->get<std::string>() : "");
         if (!result_.services.contains(id)) {
             found_.add(place, "names the unknown service '" + id.str() + "'");
         }
@@ -193,7 +196,7 @@
     {
         if (fields.find("shard_services") != nullptr) {
             for (const json& shard : fields.list("shard_services")) {
-                one.shards.push_back(known_service(shard, fields.at("shard_services")));
+                one.shards.push_back(known_service(&shard, fields.at("shard_services")));
             }
             if (one.shards.empty()) {
                 fields.add("shard_services", "must not be empty");
@@ -204,9 +207,8 @@
             read_split(fields, one);
             return;
         }
-        const json* service = fields.find("service");
         const base::service_id id =
-            known_service(service == nullptr ? json() : *service, fields.at("service"));
+            known_service(fields.find("service"), fields.at("service"));
         one.services.push_back({id, 1.0});
     }
     void read_split(field_reader& fields, deployment::route& one)
@@ -218,9 +220,8 @@
                 continue;
             }
             field_reader entry(part, fields.at("traffic_split"), found_);
-            const json* service = entry.find("service");
-            const base::service_id id = known_service(
-                service == nullptr ? json() : *service, entry.at("service"));
+            const base::service_id id =
+                known_service(entry.find("service"), entry.at("service"));
             const double weight = entry.number("weight", 0);
             sum += weight;
             one.services.push_back({id, weight});
@@ -250,9 +251,9 @@
 deployment::configuration decode_configuration(std::string_view document)
 {
     base::findings found;
-    const json body = json::parse(document, nullptr, false);
+    const json body = base::parse_json(document);
     if (!body.is_object()) {
-        found.add("body", "is not a whole JSON object");
+        found.add("body", "is not a whole JSON object, or is nested too deeply");
         throw base::findings_error(found);
     }
     deployment::configuration result = document_decoder(found).decode(body);
--- a/curranthoist/platform/configuration_document_test.cpp
+++ b/curranthoist/platform/configuration_document_test.cpp
@@ -65,6 +65,22 @@
               deployment::repeat_rule::at_most_once);
 }
 
+// Guards against an invalid configuration that ends each process which decodes it:
+// copying a value takes a stack frame for each level of its nesting.
+TEST(configuration_document_test, deep_nesting_is_a_finding)
+{
+    constexpr std::size_t depth = 1'000'000;
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    for (const std::string& part :
+         {R"("service":)" + deep, R"("shard_services":)" + deep,
+          R"("traffic_split":[{"service":)" + deep + R"(,"weight":1}])",
+          R"("service":"s","unknown":)" + deep}) {
+        EXPECT_NE(findings_of(document(route(part))).find("body"), std::string::npos)
+            << part.substr(0, 40);
+    }
+    EXPECT_NE(findings_of(deep).find("body"), std::string::npos);
+}
+
 // Guards against versions that a floating-point number would round.
 TEST(configuration_document_test, a_large_version_is_read_exactly)
 {
--- a/curranthoist/platform/target_page.cpp
+++ b/curranthoist/platform/target_page.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/platform/target_page.hpp"
 
+#include "curranthoist/base/parse_json.hpp"
 #include "curranthoist/platform/internal/json_scanner.hpp"
 
 #include <nlohmann/json.hpp>
@@ -107,7 +108,7 @@
         reject(entry.text, "is nested too deeply or too long", page);
         return;
     }
-    const json decoded = json::parse(entry.text, nullptr, false);
+    const json decoded = base::parse_json(entry.text);
     if (decoded.is_discarded()) {
         reject(entry.text, "can't be read", page);
         return;
@@ -152,7 +153,7 @@
 // list that ends too early would take targets away.
 bool read_token(std::string_view text, target_page& page)
 {
-    const json token = json::parse(text, nullptr, false);
+    const json token = base::parse_json(text);
     if (token.is_string()) {
         page.next = token.get<std::string>();
     }
