Tell a target the time that is left at the send

Cause: Deadline-Milliseconds was written when the call was started, not when it was sent.

Change: a call names the header, and http::target_client writes it at the send, less the time that the call has waited. A call whose time has passed meanwhile is not sent.

Why it works: the header's value and the send come from the same reading of the clock.

Measured: target_client_test.the_time_left_is_that_at_the_send passes; it can't be built on the code before, which has no such header.

--- a/curranthoist/http/internal/request_text.cpp
+++ b/curranthoist/http/internal/request_text.cpp
@@ -1,11 +1,13 @@
 #include "curranthoist/http/internal/request_text.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 
 namespace curranthoist::http::internal {
 
-std::string request_text(const target_call& call, const base::endpoint& remote)
+std::string request_text(const target_call& call, const base::endpoint& remote,
+                         base::duration waited)
 {
     constexpr std::size_t usual_bytes = 512;
     std::string text;
@@ -20,6 +22,14 @@
     for (const auto& [name, value] : call.headers) {
         text.append(name).append(": ").append(value).append("\r\n");
     }
+    if (!call.deadline_header.empty()) {
+        constexpr base::duration least{1};
+        const base::duration left = std::max(least, call.target_time - waited);
+        text.append(call.deadline_header)
+            .append(": ")
+            .append(std::to_string(left.count()))
+            .append("\r\n");
+    }
     const bool has_body = !call.body.empty() || call.method == "POST" ||
                           call.method == "PUT" || call.method == "PATCH";
     if (has_body && call.method != "HEAD") {
--- a/curranthoist/http/internal/request_text.hpp
+++ b/curranthoist/http/internal/request_text.hpp
@@ -10,8 +10,10 @@
 
 namespace curranthoist::http::internal {
 
-// The bytes of a call's request. Without a Host header it names `remote`.
-std::string request_text(const target_call& call, const base::endpoint& remote);
+// The bytes of a call's request that is sent `waited` after the call was started. Without
+// a Host header it names `remote`.
+std::string request_text(const target_call& call, const base::endpoint& remote,
+                         base::duration waited);
 
 // How long the target keeps the connection, by the `timeout` of the response's Keep-Alive
 // header; nothing if there is none.
--- a/curranthoist/http/target_call.hpp
+++ b/curranthoist/http/target_call.hpp
@@ -25,6 +25,11 @@
     std::string body = {};
     // From start() to the end of the response, including the wait for a connection.
     base::duration time_limit{1000};
+    // The header that tells the target how many milliseconds it has; empty if it is not
+    // told. The header is written when the request is sent, with what is left of
+    // `target_time` since start(). A call that waits longer is not sent.
+    std::string_view deadline_header = {};
+    base::duration target_time{};
     // Sends it on a connection that nothing else has used or will use. Orders need it.
     bool fresh_connection = false;
     // Asks the kernel, right before the send, whether a kept connection has ended or
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -147,7 +147,9 @@
 
 bool target_client::is_overdue(const running_call& call) const
 {
-    return clock_.now() - call.started >= call.call.time_limit;
+    const base::duration limit =
+        call.call.deadline_header.empty() ? call.call.time_limit : call.call.target_time;
+    return clock_.now() - call.started >= limit;
 }
 
 // A call that waits is worth more than a connection that may become free.
@@ -346,7 +348,8 @@
 {
     running_call& call = *connection.call;
     if (!connection.reader) {
-        connection.output = internal::request_text(call.call, remote_);
+        connection.output =
+            internal::request_text(call.call, remote_, clock_.now() - call.started);
         connection.sent = 0;
         connection.reader.emplace(call.call, call.result, memory_);
         if (call.call.expects_names && connection.names_requests) {
--- a/curranthoist/http/target_client_test.cpp
+++ b/curranthoist/http/target_client_test.cpp
@@ -74,6 +74,7 @@
     std::function<void(int descriptor)> on_request;
     int request_lines = 0;
     int connections = 0;
+    std::string last_input;
 
 private:
     void on_accept(ev::io& /*watcher*/, int /*events*/)
@@ -94,9 +95,10 @@
             close(descriptor);
             return;
         }
-        if (std::string_view(buffer, static_cast<std::size_t>(count)).find("HTTP/1.1") !=
-            std::string_view::npos) {
+        const std::string_view input(buffer, static_cast<std::size_t>(count));
+        if (input.find("HTTP/1.1") != std::string_view::npos) {
             ++request_lines;
+            last_input = input;
             on_request(descriptor);
         }
     }
@@ -484,6 +486,36 @@
     EXPECT_EQ(server_.request_lines, 1);
 }
 
+// Guards against a target that is given more time than the caller has left, because the
+// request waited for a connection.
+TEST_F(target_client_test, the_time_left_is_that_at_the_send)
+{
+    connect(1);
+    int peer = -1;
+    server_.on_request = [&peer](int descriptor) { peer = descriptor; };
+    start({});
+    ASSERT_TRUE(run_until(loop_, [&] { return peer >= 0; }));
+    start({.time_limit = base::duration(2000),
+           .deadline_header = "Time-Left",
+           .target_time = base::duration(1000)});
+    start({.time_limit = base::duration(2000),
+           .deadline_header = "Time-Left",
+           .target_time = base::duration(100)});
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    respond_with("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    raw_server::write(peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    ASSERT_TRUE(finish(3));
+    const std::size_t at = server_.last_input.find("Time-Left: ");
+    ASSERT_NE(at, std::string::npos);
+    const int left = std::atoi(server_.last_input.c_str() + at + 11);
+    EXPECT_GT(left, 0);
+    EXPECT_LE(left, 700);
+    // The third had no time left when its turn came.
+    EXPECT_EQ(server_.request_lines, 2);
+    EXPECT_EQ(results_.back().outcome, call_outcome::timed_out);
+    EXPECT_FALSE(results_.back().request_may_have_left);
+}
+
 TEST_F(target_client_test, fresh_connections_stay_within_the_cap)
 {
     connect(3);
--- a/curranthoist/platform/caller_exchange.cpp
+++ b/curranthoist/platform/caller_exchange.cpp
@@ -183,8 +183,9 @@
     call.method = request.method;
     call.path = request.target;
     call.common_headers = request.header_lines;
-    call.headers = {{std::string(deadline_header), std::to_string(time_left.count())},
-                    {std::string(instance_header), expected.str()}};
+    call.headers = {{std::string(instance_header), expected.str()}};
+    call.deadline_header = deadline_header;
+    call.target_time = time_left;
     if (!request.attempt.empty()) {
         call.headers.emplace(attempt_header, request.attempt.str());
     }
--- a/curranthoist/platform/caller_exchange_test.cpp
+++ b/curranthoist/platform/caller_exchange_test.cpp
@@ -50,9 +50,10 @@
     EXPECT_EQ(call.body, "body");
     ASSERT_TRUE(call.common_headers);
     EXPECT_EQ(*call.common_headers, "Host: h\r\nX-Other: kept\r\n");
-    EXPECT_EQ(call.headers, (http::header_map{{"Attempt-Id", "9c41"},
-                                              {"Deadline-Milliseconds", "700"},
-                                              {"Expected-Instance", "i-1"}}));
+    EXPECT_EQ(call.headers,
+              (http::header_map{{"Attempt-Id", "9c41"}, {"Expected-Instance", "i-1"}}));
+    EXPECT_EQ(call.deadline_header, "Deadline-Milliseconds");
+    EXPECT_EQ(call.target_time, base::duration(700));
     EXPECT_EQ(call.id_header, "Attempt-Id");
     EXPECT_TRUE(call.skips_other_responses);
 }
