Take back what waits for a target that must get no more requests

Cause: a target was chosen when a request came. With all connections to it busy the request waited in http::target_client, where nothing looked at the target again.

Change: target_client::withdraw_unsent() ends the calls of which no byte has left. The front uses it on every list, evacuation and tick for the targets that are not usable, and when a target is no longer listed. request_attempts sends such a request to another target, without counting an attempt or an extra send, or refuses it at once.

--- a/curranthoist/entry/answer_check.cpp
+++ b/curranthoist/entry/answer_check.cpp
@@ -100,6 +100,7 @@
     case http::call_outcome::ok:
         return check_status(request, result);
     case http::call_outcome::could_not_connect:
+    case http::call_outcome::withdrawn:
         return ended(call_end::refused, part_status::failed, true);
     case http::call_outcome::timed_out:
     case http::call_outcome::cancelled:
--- a/curranthoist/forwarding/request_attempts.cpp
+++ b/curranthoist/forwarding/request_attempts.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-// Limits the sends for one shard. Sends that never left this process do not count as
-// attempts, but must not be repeated without limit.
+// Limits the sends for one shard. Sends that found no connection do not count as
+// attempts, but must not be repeated without limit. Withdrawn ones are limited by the
+// targets that become unusable.
 constexpr std::size_t max_sends_per_shard = 6;
 // Delay before a hedge is tried again that found no target or no budget.
 constexpr base::duration hedge_retry_delay{20};
@@ -59,19 +60,19 @@
 
 bool request_attempts::may_send(const shard_state& shard) const
 {
-    if (shard.attempts.size() >= max_sends_per_shard) {
-        return false;
-    }
     std::size_t counted_attempts = 0;
+    std::size_t sends = 0;
     for (const attempt_state& attempt : shard.attempts) {
+        sends += attempt.open || attempt.kind != response_kind::withdrawn ? 1 : 0;
         const bool may_have_run = attempt.open || !certainly_not_run(attempt.kind);
         if (may_have_run && route_.repeat == deployment::repeat_rule::at_most_once) {
             return false;
         }
-        const bool was_sent = attempt.open || attempt.kind != response_kind::unreachable;
+        const bool was_sent = attempt.open || !was_not_sent(attempt.kind);
         counted_attempts += was_sent ? 1 : 0;
     }
-    return counted_attempts < std::max(1U, route_.max_attempts);
+    return sends < max_sends_per_shard &&
+           counted_attempts < std::max(1U, route_.max_attempts);
 }
 
 bool request_attempts::send(std::size_t shard_index, const char* reason,
@@ -95,7 +96,7 @@
     }
     const bool was_sent_before = std::any_of(
         shard.attempts.begin(), shard.attempts.end(), [](const attempt_state& attempt) {
-            return attempt.open || attempt.kind != response_kind::unreachable;
+            return attempt.open || !was_not_sent(attempt.kind);
         });
     if (was_sent_before && !budget_.take(shard.service, now)) {
         return false;
--- a/curranthoist/forwarding/request_attempts_test.cpp
+++ b/curranthoist/forwarding/request_attempts_test.cpp
@@ -100,6 +100,31 @@
     EXPECT_EQ(finish_->outcome, final_outcome::failed);
 }
 
+// Guards against a request that uses up its attempts while it waits for targets that
+// leave one after the other.
+TEST_F(request_attempts_test, a_withdrawn_send_is_no_attempt)
+{
+    constexpr int withdrawals = 10;
+    begin(1, repeat_rule::at_most_once);
+    for (int i = 0; i < withdrawals; ++i) {
+        ASSERT_EQ(sends_.size(), static_cast<std::size_t>(i) + 1);
+        respond(sends_.back().call, response_kind::withdrawn);
+    }
+    respond(sends_.back().call, response_kind::success);
+    ASSERT_TRUE(finish_);
+    EXPECT_EQ(finish_->outcome, final_outcome::complete);
+}
+
+// Guards against a request that waits until its deadline although no target can take it.
+TEST_F(request_attempts_test, a_withdrawn_request_without_another_target_is_refused)
+{
+    begin(1, repeat_rule::at_most_once);
+    directory_.set_evacuated({base::zone_id("z")}, now_);
+    respond(1, response_kind::withdrawn);
+    ASSERT_TRUE(finish_);
+    EXPECT_EQ(finish_->outcome, final_outcome::refused);
+}
+
 // A hedge would run a second time a request that may run only once.
 TEST_F(request_attempts_test, an_at_most_once_request_is_never_hedged)
 {
--- a/curranthoist/forwarding/response_kind.hpp
+++ b/curranthoist/forwarding/response_kind.hpp
@@ -17,6 +17,9 @@
     wrong_target,
     // Certainly not run: no byte was sent, because there is no connection.
     unreachable,
+    // Certainly not run: the request was taken back before a byte was sent, because the
+    // target must get no more requests.
+    withdrawn,
     // The request was sent and no complete, valid response arrived. The target may have
     // run it.
     unknown,
@@ -24,11 +27,17 @@
     cancelled,
 };
 
+// Returns true if no byte of the request was sent to the target.
+constexpr bool was_not_sent(response_kind kind)
+{
+    return kind == response_kind::unreachable || kind == response_kind::withdrawn;
+}
+
 // Returns true if the target certainly has not run the request and never will.
 constexpr bool certainly_not_run(response_kind kind)
 {
     return kind == response_kind::not_run || kind == response_kind::wrong_target ||
-           kind == response_kind::unreachable;
+           was_not_sent(kind);
 }
 
 constexpr const char* response_kind_name(response_kind kind)
@@ -44,6 +53,8 @@
         return "wrong_target";
     case response_kind::unreachable:
         return "unreachable";
+    case response_kind::withdrawn:
+        return "withdrawn";
     case response_kind::unknown:
         return "unknown";
     case response_kind::cancelled:
--- a/curranthoist/forwarding/target_directory.cpp
+++ b/curranthoist/forwarding/target_directory.cpp
@@ -254,6 +254,12 @@
     return best == nullptr ? nullptr : &best->listed;
 }
 
+bool target_directory::is_usable(const base::target_id& id, base::instant now) const
+{
+    const auto found = targets_.find(id);
+    return found != targets_.end() && is_usable(found->second, now);
+}
+
 bool target_directory::has_free_connection(const base::service_id& service,
                                            base::instant now) const
 {
@@ -387,6 +393,9 @@
     }
     const bool is_late = expected_latency > base::duration() &&
                          latency > expected_latency * bad_latency_factor;
+    if (kind == response_kind::withdrawn) {
+        return;
+    }
     const bool is_cancelled = kind == response_kind::cancelled;
     if (is_cancelled && !is_late) {
         return;
--- a/curranthoist/forwarding/target_directory.hpp
+++ b/curranthoist/forwarding/target_directory.hpp
@@ -69,6 +69,8 @@
     [[nodiscard]] const deployment::listed_target*
     choose(const base::service_id& service, std::span<const base::target_id> excluded,
            base::instant now) const;
+    // Returns true if the target is listed and may get requests now.
+    [[nodiscard]] bool is_usable(const base::target_id& id, base::instant now) const;
     // Returns true if this VM has a connection to a usable target of the service that no
     // request holds.
     [[nodiscard]] bool has_free_connection(const base::service_id& service,
--- a/curranthoist/forwarding/target_directory_test.cpp
+++ b/curranthoist/forwarding/target_directory_test.cpp
@@ -196,6 +196,19 @@
     EXPECT_EQ(chosen(), "a");
 }
 
+// Guards against a target that counts as failing because requests to it were taken back.
+TEST_F(target_directory_test, a_withdrawn_request_says_nothing_about_its_target)
+{
+    list({target("a"), target("b")});
+    const std::string first = chosen();
+    for (int i = 0; i < 20; ++i) {
+        send_and_respond(first, response_kind::withdrawn, 0);
+    }
+    EXPECT_EQ(chosen(), first);
+    EXPECT_TRUE(directory_.is_usable(base::target_id(first), now_));
+    EXPECT_FALSE(directory_.is_usable(base::target_id("gone"), now_));
+}
+
 // Guards against full load on a crashed target that restarts cold under its old id before
 // the list shows it.
 TEST_F(target_directory_test, an_unreachable_target_returns_after_its_health_answered)
--- a/curranthoist/forwarding/target_estimate.cpp
+++ b/curranthoist/forwarding/target_estimate.cpp
@@ -87,6 +87,9 @@
                                 base::instant now)
 {
     outstanding_ -= outstanding_ > 0 ? 1 : 0;
+    if (kind == response_kind::withdrawn) {
+        return false;
+    }
     if (kind == response_kind::unreachable || kind == response_kind::wrong_target) {
         return true;
     }
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -176,6 +176,7 @@
 void front_process::on_state(const coreclient::received_state& state)
 {
     context_.directory.set_evacuated(state.evacuated, clock_.now());
+    withdraw_unsent(clock_.now());
     if (state.version <= configuration_.offered_version()) {
         return;
     }
@@ -208,6 +209,14 @@
 void front_process::on_listing(const deployment::listing_change& change)
 {
     context_.pool.retire(context_.directory.apply(change));
+    withdraw_unsent(clock_.now());
+}
+
+void front_process::withdraw_unsent(base::instant now)
+{
+    context_.pool.withdraw_unsent([this, now](const base::target_id& id) {
+        return !context_.directory.is_usable(id, now);
+    });
 }
 
 void front_process::on_request(http::caller_request request, http::responder answer)
@@ -416,6 +425,8 @@
     gather_server_.drop_ended();
     gather_links_.check();
     context_.pool.drop_idle();
+    // For what targets said of themselves, and what was found out about them.
+    withdraw_unsent(now);
     probe_targets(now);
     preconnect(now);
     switch_configuration();
--- a/curranthoist/frontd/front_process.hpp
+++ b/curranthoist/frontd/front_process.hpp
@@ -48,6 +48,9 @@
     void refuse(const platform::inbound_request& request, const http::responder& answer,
                 const char* reason, base::duration retry_after);
     void on_listing(const deployment::listing_change& change);
+    // Takes back what waits for a connection to a target that must get no more requests;
+    // each request is sent to another target, or refused if there is none.
+    void withdraw_unsent(base::instant now);
     void on_request(http::caller_request request, http::responder answer);
     void on_readiness(const http::caller_request& request, const http::responder& answer);
     // Brings the gauges up to date before they are read.
--- a/curranthoist/frontd/gather_task.cpp
+++ b/curranthoist/frontd/gather_task.cpp
@@ -126,7 +126,7 @@
                           forwarding::response_kind_name(one.kind) + " outcome=\"" +
                           std::string(outcome) + "\" status=" + std::to_string(status) +
                           " took_ms=" + std::to_string(took.count()) + " gathered=true");
-        if (one.kind == response_kind::unreachable &&
+        if (forwarding::was_not_sent(one.kind) &&
             one.tried.size() < max_targets_per_part && context_.configuration &&
             send(index, *context_.configuration)) {
             return;
--- a/curranthoist/frontd/target_pool.cpp
+++ b/curranthoist/frontd/target_pool.cpp
@@ -47,6 +47,7 @@
 {
     // Another run of the target may have the same id by now.
     client->set_socket_handler(nullptr);
+    client->withdraw_unsent();
     retired_.push_back(std::move(client));
 }
 
--- a/curranthoist/frontd/target_pool.hpp
+++ b/curranthoist/frontd/target_pool.hpp
@@ -6,6 +6,7 @@
 
 #include <ev++.h>
 
+#include <concepts>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -39,8 +40,20 @@
                                 std::size_t max_connections);
     // The client if there is one.
     [[nodiscard]] http::target_client* find(const base::target_id& id);
-    // The targets are gone: their clients end once their calls have.
+    // The targets are gone: their unsent calls are taken back, and their clients end once
+    // the others have.
     void retire(const std::vector<base::target_id>& ids);
+    // Takes back the unsent calls of the targets for which `unusable` holds. Their
+    // results come later, from the loop.
+    template <std::predicate<const base::target_id&> Unusable>
+    void withdraw_unsent(Unusable unusable)
+    {
+        for (const auto& [id, client] : clients_) {
+            if (client->has_waiting_calls() && unusable(id)) {
+                client->withdraw_unsent();
+            }
+        }
+    }
     // Drops retired clients without calls; must not be called from a result handler.
     void drop_idle();
     [[nodiscard]] std::size_t open_sockets() const;
--- a/curranthoist/http/call_outcome.hpp
+++ b/curranthoist/http/call_outcome.hpp
@@ -23,6 +23,8 @@
     too_large,
     // The response names another Request-Id than the call.
     mismatched,
+    // withdraw_unsent() was called before a byte was sent.
+    withdrawn,
 };
 
 // The outcome in words, for log lines.
@@ -45,6 +47,8 @@
         return "response too large";
     case call_outcome::mismatched:
         return "response to another request";
+    case call_outcome::withdrawn:
+        return "withdrawn before the send";
     }
     return "unknown";
 }
--- a/curranthoist/http/target_call.hpp
+++ b/curranthoist/http/target_call.hpp
@@ -30,6 +30,9 @@
     // `target_time` since start(). A call that waits longer is not sent.
     std::string_view deadline_header = {};
     base::duration target_time{};
+    // Whether withdraw_unsent() ends it. A health request goes to a target that gets
+    // nothing else.
+    bool is_withdrawable = true;
     // Sends it on a connection that nothing else has used or will use. Orders need it.
     bool fresh_connection = false;
     // Asks the kernel, right before the send, whether a kept connection has ended or
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -109,6 +109,23 @@
     connection->abandoned = std::move(current);
 }
 
+void target_client::withdraw_unsent()
+{
+    std::vector<call_number> unsent;
+    for (const auto& [number, call] : calls_) {
+        if (call->call.is_withdrawable && !call->result.request_may_have_left) {
+            unsent.push_back(number);
+        }
+    }
+    // The end of one call must not start another of them.
+    std::erase_if(waiting_, [&unsent](call_number number) {
+        return std::binary_search(unsent.begin(), unsent.end(), number);
+    });
+    for (const call_number number : unsent) {
+        end_call(number, call_outcome::withdrawn);
+    }
+}
+
 std::size_t target_client::busy_connections() const
 {
     return static_cast<std::size_t>(
--- a/curranthoist/http/target_client.hpp
+++ b/curranthoist/http/target_client.hpp
@@ -73,6 +73,9 @@
     // new one costs more than a late response. A target that is at work goes on with it.
     void abandon(call_number number);
 
+    // Ends the calls of which no byte has left, with the outcome `withdrawn`.
+    void withdraw_unsent();
+
     void set_socket_handler(socket_handler handler) { on_socket_ = std::move(handler); }
 
     // Counts the bodies of responses within a limit that other clients share.
@@ -91,6 +94,8 @@
     [[nodiscard]] std::size_t peak_sockets() const { return peak_sockets_; }
     // Calls whose results are not delivered yet.
     [[nodiscard]] std::size_t open_calls() const;
+    // True if a call may be waiting for a connection.
+    [[nodiscard]] bool has_waiting_calls() const { return !waiting_.empty(); }
     [[nodiscard]] const base::endpoint& remote() const { return remote_; }
 
 private:
--- a/curranthoist/http/target_client_test.cpp
+++ b/curranthoist/http/target_client_test.cpp
@@ -516,6 +516,33 @@
     EXPECT_FALSE(results_.back().request_may_have_left);
 }
 
+// Guards against calls that are taken back after they were sent, or that are sent when
+// the end of another one frees its connection.
+TEST_F(target_client_test, only_unsent_calls_are_withdrawn)
+{
+    connect(1);
+    int peer = -1;
+    server_.on_request = [&peer](int descriptor) { peer = descriptor; };
+    start({});
+    ASSERT_TRUE(run_until(loop_, [&] { return peer >= 0; }));
+    start({});
+    start({.is_withdrawable = false});
+    start({});
+    client_->withdraw_unsent();
+    ASSERT_TRUE(finish(2));
+    for (const target_result& result : results_) {
+        EXPECT_EQ(result.outcome, call_outcome::withdrawn);
+        EXPECT_FALSE(result.request_may_have_left);
+    }
+    respond_with("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    raw_server::write(peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    ASSERT_TRUE(finish(4));
+    EXPECT_EQ(results_[2].outcome, call_outcome::ok);
+    EXPECT_EQ(results_[3].outcome, call_outcome::ok);
+    EXPECT_EQ(server_.request_lines, 2);
+    EXPECT_EQ(server_.connections, 1);
+}
+
 TEST_F(target_client_test, fresh_connections_stay_within_the_cap)
 {
     connect(3);
--- a/curranthoist/platform/caller_exchange.cpp
+++ b/curranthoist/platform/caller_exchange.cpp
@@ -130,6 +130,9 @@
 forwarding::response_kind kind_of(const http::target_result& result, bool is_signed)
 {
     using forwarding::response_kind;
+    if (result.outcome == http::call_outcome::withdrawn) {
+        return response_kind::withdrawn;
+    }
     if (!result.request_may_have_left) {
         return result.outcome == http::call_outcome::timed_out
                    ? response_kind::not_run
@@ -266,6 +269,7 @@
     call.method = "GET";
     call.path = path;
     call.time_limit = limit;
+    call.is_withdrawable = false;
     call.accept_unframed = true;
     call.max_body_bytes = max_health_bytes;
     return call;
--- a/curranthoist/testing/platform/target_trouble_test.cpp
+++ b/curranthoist/testing/platform/target_trouble_test.cpp
@@ -87,6 +87,62 @@
         wait_until([&] { return ask(0, "/o/1", "after", "POST").status == 200U; }));
 }
 
+// Guards against requests that wait for a connection to a target and reach it long after
+// it was listed as draining, while others are idle.
+TEST_F(target_trouble_test, what_waits_for_a_target_that_drains_goes_to_another)
+{
+    constexpr base::duration work{400};
+    constexpr base::duration drain_timeout{3000};
+    constexpr unsigned deadline_ms = 8000;
+    constexpr std::size_t order_count = 14;
+    constexpr std::uint16_t port = 9400;
+    stand_in_platform::target leaving{"d-a", "drained", {new_address(), port}};
+    leaving.work = work;
+    platform_->add(leaving);
+    platform_->add({"d-b", "drained", {new_address(), port}, "draining"});
+    nlohmann::json wanted = configuration(7, deadline_ms);
+    nlohmann::json service = wanted["services"][0];
+    service["name"] = "drained";
+    // One connection of each front.
+    service["max_connections"] = vms_.size();
+    wanted["services"].push_back(service);
+    wanted["routes"][1]["service"] = "drained";
+    ASSERT_TRUE(replace(wanted));
+    ASSERT_TRUE(ready(0));
+    std::vector<http::target_result> answers(order_count);
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < order_count; ++i) {
+        callers.emplace_back([this, i, &answers] {
+            answers[i] =
+                send({vms_[0], callers_port},
+                     {.path = "/o/1",
+                      .headers = {{"Host", host},
+                                  {"Attempt-Id", "order-" + std::to_string(i)},
+                                  {"Deadline-Milliseconds", std::to_string(deadline_ms)}},
+                      .body = "order",
+                      .time_limit = base::duration(deadline_ms + 1000)});
+        });
+    }
+    wait(300);
+    platform_->set_state("d-b", "ready");
+    platform_->set_state("d-a", "draining");
+    const base::instant drained = base::monotonic_clock().now();
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    for (const http::target_result& answer : answers) {
+        EXPECT_EQ(answer.status, 200U);
+    }
+    std::size_t late = 0;
+    std::size_t at_other = 0;
+    for (const stand_in_platform::run& run : platform_->journal()) {
+        late += run.target == "d-a" && run.at > drained + drain_timeout ? 1 : 0;
+        at_other += run.target == "d-b" ? 1 : 0;
+    }
+    EXPECT_EQ(late, 0U);
+    EXPECT_GT(at_other, 0U);
+}
+
 // Guards against a list that nobody follows any more, or processes that end, because of
 // one entry of another writer.
 TEST_F(target_trouble_test, an_odd_entry_of_the_list_stops_nobody)
