--- a/curranthoist/frontd/request_sends.cpp
+++ b/curranthoist/frontd/request_sends.cpp
@@ -16,6 +16,13 @@
     return found == sends_.end() ? nullptr : &found->second;
 }
 
+bool request_sends::has_sent_to(const base::target_id& target) const
+{
+    return std::any_of(sends_.begin(), sends_.end(), [&target](const auto& one) {
+        return one.second.target == target;
+    });
+}
+
 std::size_t request_sends::add_group(group_send group)
 {
     groups_.push_back(std::move(group));
--- a/curranthoist/frontd/request_sends.hpp
+++ b/curranthoist/frontd/request_sends.hpp
@@ -28,6 +28,9 @@
     [[nodiscard]] target_send* find(forwarding::call_id call);
     [[nodiscard]] std::size_t count() const { return sends_.size(); }
 
+    // Returns true if there is a send to the target.
+    [[nodiscard]] bool has_sent_to(const base::target_id& target) const;
+
     // Adds a group and returns its index.
     std::size_t add_group(group_send group);
     [[nodiscard]] group_send& group(std::size_t index) { return groups_[index]; }
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -4,6 +4,7 @@
 #include "curranthoist/http/internal/running_call.hpp"
 #include "curranthoist/http/internal/target_connection.hpp"
 #include "curranthoist/http/internal/target_socket.hpp"
+#include "curranthoist/http/status.hpp"
 
 #include <algorithm>
 #include <array>
@@ -434,7 +435,11 @@
 {
     running_call& call = *connection.call;
     const bool all_sent = connection.sent == connection.output.size();
-    const bool keep = outcome == call_outcome::ok && all_sent &&
+    // A late copy of a rejection that names no request could not be told from the answer
+    // to the next one.
+    const bool is_named = call.call.headers.contains(call.call.id_header);
+    const bool is_recognisable = is_named || call.result.status < status::first_redirect;
+    const bool keep = outcome == call_outcome::ok && all_sent && is_recognisable &&
                       connection.reader->may_keep_connection() &&
                       !call.call.fresh_connection &&
                       connections_.size() <= max_connections_;
--- a/curranthoist/testing/platform/target_trouble_test.cpp
+++ b/curranthoist/testing/platform/target_trouble_test.cpp
@@ -1,6 +1,7 @@
 // Targets in trouble, and a list with entries of another writer, against real processes.
 #include "curranthoist/testing/endless_server.hpp"
 #include "curranthoist/testing/platform/platform_fixture.hpp"
+#include "curranthoist/testing/repeating_target.hpp"
 
 #include <chrono>
 #include <fstream>
@@ -143,6 +144,30 @@
     EXPECT_GT(at_other, 0U);
 }
 
+// Guards against an order that is refused, or sent once more, while it runs: a late copy
+// of its first rejection is no answer to its second send.
+TEST_F(target_trouble_test, a_late_copy_of_a_rejection_says_nothing_about_the_second_send)
+{
+    const std::string id = "r-a";
+    const base::endpoint local{new_address(), 9500};
+    const repeating_target repeating(id, local);
+    stand_in_platform::target listed{id, "repeating", {new_address(), 9500}};
+    listed.listed_address = local;
+    platform_->add(listed);
+    nlohmann::json wanted = configuration(7);
+    nlohmann::json service = wanted["services"][0];
+    service["name"] = "repeating";
+    wanted["services"].push_back(service);
+    wanted["routes"][1]["service"] = "repeating";
+    ASSERT_TRUE(replace(wanted));
+    ASSERT_TRUE(ready(0));
+    for (int i = 0; i < 5; ++i) {
+        const std::string attempt = "order-" + std::to_string(i);
+        EXPECT_EQ(ask(0, "/o/1", attempt, "POST").status, 200U);
+        EXPECT_EQ(repeating.runs_of(attempt), 1);
+    }
+}
+
 // Guards against a list that nobody follows any more, or processes that end, because of
 // one entry of another writer.
 TEST_F(target_trouble_test, an_odd_entry_of_the_list_stops_nobody)
