Count the records of a response's headers

Callers could lose: the requests on a VM whose process runs out of memory. A target that sends short header lines without end filled 64 KiB of text, which takes about 2 MB as entries of a map, for each of its connections.

Change: each header counts 128 bytes besides its text, so that a response has 512 headers at most.

Checked besides: a response that ends anywhere in its head is never taken for a whole one, also behind an interim or a dropped response; no fault was found.

Measured: response_reader_test.many_short_headers_are_refused failed before and passes now; a_response_that_ends_in_its_head_is_truncated passes before and now.

--- a/curranthoist/http/internal/response_reader.cpp
+++ b/curranthoist/http/internal/response_reader.cpp
@@ -17,8 +17,11 @@
 // A target that sends more responses to other requests than this is not to be trusted
 // with the own one.
 constexpr std::size_t most_skipped = 3;
-// Maximum size of the header lines and trailers of a response.
+// Maximum size of the header lines and trailers of a response, each with its record.
 constexpr std::size_t max_header_bytes = std::size_t{64} * 1024;
+// The memory that a header takes besides its text: short ones without end would take
+// many times what was read.
+constexpr std::size_t header_record_bytes = 128;
 // Maximum number of bytes read for one response, as a multiple of its longest body:
 // heads, interim responses and the framing of chunks can go on without end.
 constexpr std::size_t max_received_factor = 2;
@@ -110,10 +113,12 @@
 int response_reader::on_field(http_parser* parser, const char* data, std::size_t size)
 {
     response_reader& self = of(parser);
+    // Bytes of a name that has begun continue it.
+    const bool begins = self.in_value_ || self.field_.empty();
     if (self.in_value_) {
         self.store_header();
     }
-    if (!self.accept_header_bytes(size)) {
+    if (!self.accept_header_bytes(size + (begins ? header_record_bytes : 0))) {
         return -1;
     }
     self.field_.append(data, size);
--- a/curranthoist/http/internal/response_reader_test.cpp
+++ b/curranthoist/http/internal/response_reader_test.cpp
@@ -41,6 +41,46 @@
     }
 }
 
+// Guards against a head without end whose short lines take many times their bytes.
+TEST(response_reader_test, many_short_headers_are_refused)
+{
+    constexpr std::size_t most_headers = 600;
+    target_call call;
+    call.accept_unframed = true;
+    target_result result;
+    response_reader reader(call, result);
+    ASSERT_EQ(reader.read("HTTP/1.1 200 OK\r\n"), std::nullopt);
+    std::size_t sent = 0;
+    while (sent <= most_headers && !reader.read("h" + std::to_string(sent) + ":\r\n")) {
+        ++sent;
+    }
+    EXPECT_LT(sent, most_headers);
+    EXPECT_GT(sent, most_headers / 2);
+}
+
+// Guards against a response that breaks off in its head and counts as whole, with an
+// empty or short body.
+TEST(response_reader_test, a_response_that_ends_in_its_head_is_truncated)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nServer-Stamp: 3e1b.07\r\n"
+                              "Content-Length: 12\r\nX: y\r\n\r\n";
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    for (const std::string& head : {whole, interim + whole, other + whole}) {
+        for (const bool in_order : {true, false}) {
+            for (std::size_t cut = 1; cut < head.size(); ++cut) {
+                target_call call = skipping_call();
+                call.accept_unframed = true;
+                target_result result;
+                response_reader reader(call, result);
+                ASSERT_EQ(reader.read(std::string_view(head).substr(0, cut)),
+                          std::nullopt)
+                    << cut;
+                ASSERT_NE(reader.finish(in_order), call_outcome::ok) << cut;
+            }
+        }
+    }
+}
+
 // Guards against a dropped response without an end of its own, behind which any bytes
 // would be taken for the own one.
 TEST(response_reader_test, a_response_without_length_is_not_dropped)
