Answer what is still open at the end of a stop

A front that stops ended 5.6 s after the signal with requests open; those at silent targets, and those that waited for a connection and had not been sent, lost their connections without an answer.

Cause: step_stop() ended the loop whatever was open.

Change: 400 ms before the platform's limit each open request ends as at its time limit, with the parts that are there or with a 504. The process ends once these answers are sent, 100 ms before the limit at the latest.

Why it works: the answers are written while the process still runs; later requests are refused as not run, as before.

Measured: platform_path_test.a_stop_answers_what_is_still_open_at_its_end failed before (six broken connections) and passes now.

--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -104,6 +104,11 @@
     perform(run_->start(clock_.now()));
 }
 
+void caller_task::expire()
+{
+    perform(run_->on_time(std::max(hard_limit_, clock_.now())));
+}
+
 void caller_task::perform(std::vector<forwarding::request_action> actions)
 {
     // By index, because actions that follow are added at the end.
--- a/curranthoist/frontd/caller_task.hpp
+++ b/curranthoist/frontd/caller_task.hpp
@@ -42,6 +42,8 @@
     caller_task& operator=(const caller_task&) = delete;
 
     void start(end_handler on_end);
+    // Answers with what there is now, as at the time limit.
+    void expire();
 
 private:
     [[nodiscard]] forwarding::request_timing times(base::instant now) const;
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -27,8 +27,10 @@
 // The load balancer asks once a second and believes the second miss; then it sends no new
 // connections.
 constexpr base::duration balancer_delay{2500};
-// What is left of the platform's stop limit when the process ends by itself.
+// What is left of the platform's stop limit when the requests that are still open get
+// their final answer, and when the process ends at the latest.
 constexpr base::duration stop_margin{400};
+constexpr base::duration exit_margin{100};
 // A healthy target answers its health request within a few milliseconds.
 constexpr base::duration health_limit{300};
 // Connections to targets are made before they are needed, so many at once: a query needs
@@ -459,6 +461,18 @@
     log_.info("event=stopping requests=" + std::to_string(tasks_.size()));
 }
 
+void front_process::expire_requests()
+{
+    // An ended task leaves the map.
+    std::vector<std::shared_ptr<caller_task>> open;
+    for (const auto& [number, task] : tasks_) {
+        open.push_back(task);
+    }
+    for (const auto& task : open) {
+        task->expire();
+    }
+}
+
 void front_process::step_stop(base::instant now)
 {
     const base::duration since = now - stop_begun_;
@@ -472,7 +486,10 @@
     const bool idle = !callers_->is_listening() && callers_->open_requests() == 0 &&
                       callers_->live_connections() == 0 &&
                       gather_server_.open_requests() == 0;
-    if (idle || since >= settings_.stop_limit - stop_margin) {
+    if (since >= settings_.stop_limit - stop_margin) {
+        expire_requests();
+    }
+    if (idle || since >= settings_.stop_limit - exit_margin) {
         log_.info("event=stopped requests=" + std::to_string(tasks_.size()) +
                   " connections=" + std::to_string(callers_->live_connections()));
         loop_.break_loop(ev::ALL);
--- a/curranthoist/frontd/front_process.hpp
+++ b/curranthoist/frontd/front_process.hpp
@@ -66,6 +66,8 @@
     services_to_connect(const deployment::route_table& table, base::instant now);
     void on_gatherers(std::vector<deployment::gatherer> gatherers);
     void step_stop(base::instant now);
+    // Answers every open request now; the process is about to end.
+    void expire_requests();
 
     ev::loop_ref loop_;
     platform::node_settings settings_;
--- a/curranthoist/testing/platform/platform_path_test.cpp
+++ b/curranthoist/testing/platform/platform_path_test.cpp
@@ -6,6 +6,9 @@
 #include <filesystem>
 #include <fstream>
 #include <optional>
+#include <string>
+#include <thread>
+#include <vector>
 
 namespace curranthoist::testing {
 namespace {
@@ -238,5 +241,47 @@
     EXPECT_EQ(fronts_[0]->wait_for_exit(base::duration(6000)), 0);
 }
 
+// Guards against requests that are cut off without an answer at the end of a stop,
+// because their targets are silent or because they still wait for a connection.
+TEST_F(platform_path_test, a_stop_answers_what_is_still_open_at_its_end)
+{
+    constexpr unsigned deadline_ms = 9000;
+    constexpr std::size_t order_count = 6;
+    start_all();
+    nlohmann::json wanted = configuration(7, deadline_ms);
+    // One connection of each front to each target.
+    wanted["services"][2]["max_connections"] = vms_.size();
+    ASSERT_TRUE(replace(wanted));
+    ASSERT_TRUE(ready(0));
+    platform_->set_behaviour("single-a", target_behaviour::hangs);
+    platform_->set_behaviour("single-b", target_behaviour::hangs);
+    std::vector<http::target_result> answers(order_count);
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < order_count; ++i) {
+        callers.emplace_back([this, i, &answers] {
+            answers[i] =
+                send({vms_[0], callers_port},
+                     {.path = "/o/1",
+                      .headers = {{"Host", host},
+                                  {"Attempt-Id", "order-" + std::to_string(i)},
+                                  {"Deadline-Milliseconds", std::to_string(deadline_ms)}},
+                      .body = "order",
+                      .time_limit = base::duration(deadline_ms)});
+        });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    fronts_[0]->send_signal(SIGTERM);
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(fronts_[0]->wait_for_exit(base::duration(1000)), 0);
+    for (std::size_t i = 0; i < order_count; ++i) {
+        EXPECT_EQ(answers[i].outcome, http::call_outcome::ok);
+        const bool has_run = platform_->runs_of("order-" + std::to_string(i)) > 0;
+        EXPECT_TRUE(answers[i].status == http::status::gateway_timeout ||
+                    (answers[i].status == http::status::service_unavailable && !has_run));
+    }
+}
+
 } // namespace
 } // namespace curranthoist::testing
