Look for an earlier send to a target only for requests that may run once

Cause: a query over many shards compared each of its sends with all before it, for an answer that only requests which may run once need.

Change: the search comes behind that condition.

--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -139,7 +139,7 @@
     const base::instant now = clock_.now();
     const deployment::listed_target* target = context_.directory.find(action.target);
     const bool may_run_once = route_.repeat == deployment::repeat_rule::at_most_once;
-    const bool is_repeated = sends_.has_sent_to(action.target);
+    const bool needs_own_connection = may_run_once && sends_.has_sent_to(action.target);
     target_send& sent = sends_.add(action.call);
     sent.shard = action.shard;
     sent.target = action.target;
@@ -152,7 +152,7 @@
     call.checks_connection = may_run_once;
     // On the connection of the first send, a late copy of its rejection could not be told
     // from the answer to this one: both name the same attempt.
-    call.fresh_connection = may_run_once && is_repeated;
+    call.fresh_connection = needs_own_connection;
     sent.number =
         client.start(std::move(call), [weak = weak_from_this(),
                                        call = action.call](http::target_result result) {
