--- a/curranthoist/http/caller_server_test.cpp
+++ b/curranthoist/http/caller_server_test.cpp
@@ -251,13 +251,14 @@
     constexpr std::size_t long_answer_head = 40'000;
     constexpr std::string_view refused = "HTTP/1.1 431 ";
     std::string answer_header;
-    server_.emplace(loop_, options_, [&](caller_request request, responder answer) {
-        const bool small = request.header("request-id").has_value();
-        requests_.push_back(std::move(request));
-        caller_response response{.body = "{}"};
-        response.headers.emplace("Parts", small ? "" : answer_header);
-        answer.respond(std::move(response));
-    });
+    server_.emplace(loop_, options_,
+                    [&](caller_request request, const responder& answer) {
+                        const bool small = request.header("request-id").has_value();
+                        requests_.push_back(std::move(request));
+                        caller_response response{.body = "{}"};
+                        response.headers.emplace("Parts", small ? "" : answer_header);
+                        answer.respond(std::move(response));
+                    });
     for (const std::size_t answer_bytes : {std::size_t{100}, long_answer_head}) {
         answer_header.assign(answer_bytes, 'p');
         for (const head_shape shape :
