Write a test's settings file anew without a moment in which it is empty

Seen: soak failed once in 40; a front ended as it was started again, since its settings file was empty, and too little was served afterwards.

Cause: platform_fixture::settings() truncated and wrote the one file of a VM's two processes in place, while a process that had just been started read it.

Change: the file is written beside and renamed.

Why it works: a rename replaces the whole file at once.

--- a/curranthoist/testing/platform/platform_fixture.cpp
+++ b/curranthoist/testing/platform/platform_fixture.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/http/status.hpp"
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 
 namespace curranthoist::testing {
@@ -67,7 +68,9 @@
                                        const std::string& folder_name)
 {
     std::string path = folder() + "/settings-" + std::to_string(vm) + "-" + folder_name;
-    std::ofstream file(path);
+    // A process that was started before may be reading the file.
+    const std::string new_path = path + ".new";
+    std::ofstream file(new_path);
     const std::string& own = vms_[vm];
     file << "node_name=vm-" << vm << "\nzone=z1\nip_address=" << advertised_[vm]
          << "\nlisten_addresses.front=" << own << ":" << callers_port
@@ -86,6 +89,8 @@
          << "\nbounds.retry_budget_ratio=0.2\nbounds.retry_budget_slack=58"
          << "\ncloud_api.address=" << list_
          << "\ncloud_api.rate_per_s=46.0\ncloud_api.max_lag_ms=800\n";
+    file.close();
+    std::filesystem::rename(new_path, path);
     return path;
 }
 
--- a/curranthoist/testing/platform/platform_path_test.cpp
+++ b/curranthoist/testing/platform/platform_path_test.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/http/status.hpp"
 #include "curranthoist/testing/platform/platform_fixture.hpp"
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <filesystem>
@@ -241,6 +242,36 @@
     EXPECT_EQ(fronts_[0]->wait_for_exit(base::duration(6000)), 0);
 }
 
+// Guards against a process that ends because the fixture writes its settings file anew
+// while it reads it.
+TEST_F(platform_path_test, a_settings_file_is_whole_at_any_time)
+{
+    constexpr int rewrites = 3000;
+    const std::string path = settings(0, true, "disk");
+    std::atomic<bool> done = false;
+    int damaged = 0;
+    std::thread reader([&] {
+        while (!done) {
+            std::ifstream file(path);
+            std::string first;
+            std::string text;
+            for (std::string line; std::getline(file, line); text = line) {
+                first = first.empty() ? line : first;
+            }
+            damaged += first.starts_with("node_name=") &&
+                               text.starts_with("cloud_api.max_lag_ms=")
+                           ? 0
+                           : 1;
+        }
+    });
+    for (int i = 0; i < rewrites; ++i) {
+        settings(0, true, "disk");
+    }
+    done = true;
+    reader.join();
+    EXPECT_EQ(damaged, 0);
+}
+
 // Guards against requests that are cut off without an answer at the end of a stop,
 // because their targets are silent or because they still wait for a connection.
 TEST_F(platform_path_test, a_stop_answers_what_is_still_open_at_its_end)
--- a/curranthoist/testing/soak/soak_test.cpp
+++ b/curranthoist/testing/soak/soak_test.cpp
@@ -537,6 +537,8 @@
         1213,
         // Overlapping stops of one front started two successors.
         1224,
+        // A process read its settings file while the fixture wrote it anew.
+        290017,
     };
 }
 
