Send the orders of two tests from one function

Cause: two tests sent orders from threads with the same lines; the refusal of too many query arguments had its bytes in the midst of a callback.

--- a/curranthoist/http/caller_server.cpp
+++ b/curranthoist/http/caller_server.cpp
@@ -75,6 +75,25 @@
     return info == nullptr ? -1 : info->connect_fd;
 }
 
+// At least the number of the target's query arguments.
+std::size_t argument_count(std::string_view target)
+{
+    return static_cast<std::size_t>(
+        std::count_if(target.begin(), target.end(),
+                      [](char letter) { return letter == '?' || letter == '&'; }));
+}
+
+// Refuses a request whose head is still being parsed, and ends its connection.
+void refuse_head(int descriptor)
+{
+    constexpr std::string_view refused =
+        "HTTP/1.1 431 Request Header Fields Too Large\r\n"
+        "Connection: close\r\n"
+        "Content-Length: 0\r\n\r\n";
+    ::send(descriptor, refused.data(), refused.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    ::shutdown(descriptor, SHUT_RDWR);
+}
+
 // The bytes of the response's header lines.
 std::size_t head_bytes(const caller_response& answer)
 {
@@ -324,20 +343,11 @@
 {
     auto& server = *static_cast<caller_server*>(self);
     server.targets_[connection] = target;
-    const std::string_view text = target;
-    const auto arguments =
-        static_cast<std::size_t>(std::count(text.begin(), text.end(), '&') +
-                                 std::count(text.begin(), text.end(), '?'));
-    // The library would go on parsing them until the connection times out.
-    if (connection_memory(server.block_bytes_).left_beside(text.size(), 0, arguments) <
+    // The library would go on parsing the arguments until the connection times out.
+    if (connection_memory(server.block_bytes_)
+            .left_beside(std::string_view(target).size(), 0, argument_count(target)) <
         connection_memory::response_reserve) {
-        constexpr std::string_view refused =
-            "HTTP/1.1 431 Request Header Fields Too Large"
-            "\r\nConnection: close\r\n"
-            "Content-Length: 0\r\n\r\n";
-        const int descriptor = descriptor_of(connection);
-        ::send(descriptor, refused.data(), refused.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-        ::shutdown(descriptor, SHUT_RDWR);
+        refuse_head(descriptor_of(connection));
     }
     return nullptr;
 }
--- a/curranthoist/http/caller_server_test.cpp
+++ b/curranthoist/http/caller_server_test.cpp
@@ -282,6 +282,22 @@
     }
 }
 
+// Guards against a connection that costs time until it is idle for long enough, because
+// the library can't hold the arguments of its request.
+TEST_F(caller_server_test, too_many_query_arguments_cost_one_connection)
+{
+    start();
+    int open = 0;
+    server_->set_connection_handler(
+        [&open](std::uint64_t, bool opened) { open += opened ? 1 : -1; });
+    raw_peer peer(server_->local());
+    peer.send(request_with_head(head_shape::query_arguments, 16'000));
+    EXPECT_TRUE(reads(peer, " 431 "));
+    EXPECT_TRUE(run_until(loop_, [&] { return open == 0; }));
+    EXPECT_TRUE(requests_.empty());
+    EXPECT_TRUE(still_serves());
+}
+
 // Guards against a 431 to a request that keeps the limit.
 TEST_F(caller_server_test, heads_up_to_the_limit_are_answered)
 {
--- a/curranthoist/testing/platform/platform_fixture.cpp
+++ b/curranthoist/testing/platform/platform_fixture.cpp
@@ -3,8 +3,10 @@
 #include "curranthoist/http/status.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 namespace curranthoist::testing {
 
@@ -244,4 +246,33 @@
                                            .time_limit = base::duration(5000)});
 }
 
+std::vector<http::target_result>
+platform_fixture::order_at_once(std::size_t vm, std::size_t count,
+                                base::duration deadline,
+                                const std::function<void()>& meanwhile)
+{
+    constexpr std::chrono::milliseconds arrival{300};
+    const base::duration patience = deadline + base::duration(1000);
+    std::vector<http::target_result> answers(count);
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < count; ++i) {
+        callers.emplace_back([&, i] {
+            answers[i] = send(
+                {vms_[vm], callers_port},
+                {.path = "/o/1",
+                 .headers = {{"Host", host},
+                             {"Attempt-Id", "order-" + std::to_string(i)},
+                             {"Deadline-Milliseconds", std::to_string(deadline.count())}},
+                 .body = "order",
+                 .time_limit = patience});
+        });
+    }
+    std::this_thread::sleep_for(arrival);
+    meanwhile();
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    return answers;
+}
+
 } // namespace curranthoist::testing
--- a/curranthoist/testing/platform/platform_fixture.hpp
+++ b/curranthoist/testing/platform/platform_fixture.hpp
@@ -5,6 +5,7 @@
 #include "curranthoist/testing/tcp_forwarder.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,6 +67,12 @@
                             const std::string& attempt,
                             const std::string& method = "GET");
 
+    // Sends `count` orders, "order-0" and so on, to a VM at once and returns their
+    // answers. Runs `meanwhile` as soon as they have had time to arrive.
+    std::vector<http::target_result>
+    order_at_once(std::size_t vm, std::size_t count, base::duration deadline,
+                  const std::function<void()>& meanwhile);
+
     // Where each VM's processes listen, and where other VMs reach them.
     std::vector<std::string> vms_;
     std::vector<std::string> advertised_;
--- a/curranthoist/testing/platform/platform_path_test.cpp
+++ b/curranthoist/testing/platform/platform_path_test.cpp
@@ -286,25 +286,9 @@
     ASSERT_TRUE(ready(0));
     platform_->set_behaviour("single-a", target_behaviour::hangs);
     platform_->set_behaviour("single-b", target_behaviour::hangs);
-    std::vector<http::target_result> answers(order_count);
-    std::vector<std::thread> callers;
-    for (std::size_t i = 0; i < order_count; ++i) {
-        callers.emplace_back([this, i, &answers] {
-            answers[i] =
-                send({vms_[0], callers_port},
-                     {.path = "/o/1",
-                      .headers = {{"Host", host},
-                                  {"Attempt-Id", "order-" + std::to_string(i)},
-                                  {"Deadline-Milliseconds", std::to_string(deadline_ms)}},
-                      .body = "order",
-                      .time_limit = base::duration(deadline_ms)});
-        });
-    }
-    std::this_thread::sleep_for(std::chrono::milliseconds(200));
-    fronts_[0]->send_signal(SIGTERM);
-    for (std::thread& caller : callers) {
-        caller.join();
-    }
+    const std::vector<http::target_result> answers =
+        order_at_once(0, order_count, base::duration(deadline_ms),
+                      [this] { fronts_[0]->send_signal(SIGTERM); });
     EXPECT_EQ(fronts_[0]->wait_for_exit(base::duration(1000)), 0);
     for (std::size_t i = 0; i < order_count; ++i) {
         EXPECT_EQ(answers[i].outcome, http::call_outcome::ok);
--- a/curranthoist/testing/platform/target_trouble_test.cpp
+++ b/curranthoist/testing/platform/target_trouble_test.cpp
@@ -110,27 +110,13 @@
     wanted["routes"][1]["service"] = "drained";
     ASSERT_TRUE(replace(wanted));
     ASSERT_TRUE(ready(0));
-    std::vector<http::target_result> answers(order_count);
-    std::vector<std::thread> callers;
-    for (std::size_t i = 0; i < order_count; ++i) {
-        callers.emplace_back([this, i, &answers] {
-            answers[i] =
-                send({vms_[0], callers_port},
-                     {.path = "/o/1",
-                      .headers = {{"Host", host},
-                                  {"Attempt-Id", "order-" + std::to_string(i)},
-                                  {"Deadline-Milliseconds", std::to_string(deadline_ms)}},
-                      .body = "order",
-                      .time_limit = base::duration(deadline_ms + 1000)});
+    base::instant drained;
+    const std::vector<http::target_result> answers =
+        order_at_once(0, order_count, base::duration(deadline_ms), [&] {
+            platform_->set_state("d-b", "ready");
+            platform_->set_state("d-a", "draining");
+            drained = base::monotonic_clock().now();
         });
-    }
-    wait(300);
-    platform_->set_state("d-b", "ready");
-    platform_->set_state("d-a", "draining");
-    const base::instant drained = base::monotonic_clock().now();
-    for (std::thread& caller : callers) {
-        caller.join();
-    }
     for (const http::target_result& answer : answers) {
         EXPECT_EQ(answer.status, 200U);
     }
