Refuse JSON texts with more values than a process can hold

What callers saw: nothing yet; found while bounding what the port of operators can make a core process hold. A text within the length limit of 6 MiB may hold three million values of two bytes each, and each value takes some dozens of bytes once it is parsed: more than the 112 MB of the smallest VM.

parse_json() counts separators and brackets before it parses and discards a text with more than 500,000 values. The configuration of a thousand routes over 270 shards has 300,000.

parse_json_test.discards_what_has_too_many_values fails without the count: such a text was parsed.

--- a/curranthoist/base/parse_json.cpp
+++ b/curranthoist/base/parse_json.cpp
@@ -8,12 +8,19 @@
 
 namespace {
 
-// The greatest number of brackets that are open at once. A text whose quotes don't match
-// gives any number; it is not JSON.
-std::size_t nesting_depth(std::string_view text)
+struct json_extent
 {
+    // The greatest number of brackets that are open at once.
+    std::size_t depth = 0;
+    // At least the number of values.
+    std::size_t values = 1;
+};
+
+// A text whose quotes don't match gives any extent; it is not JSON.
+json_extent extent_of(std::string_view text)
+{
+    json_extent result;
     std::size_t open = 0;
-    std::size_t deepest = 0;
     bool quoted = false;
     for (std::size_t i = 0; i < text.size(); ++i) {
         const char letter = text[i];
@@ -25,13 +32,17 @@
             quoted = true;
         }
         else if (letter == '[' || letter == '{') {
-            deepest = std::max(deepest, ++open);
+            result.depth = std::max(result.depth, ++open);
+            ++result.values;
+        }
+        else if (letter == ',') {
+            ++result.values;
         }
         else if ((letter == ']' || letter == '}') && open > 0) {
             --open;
         }
     }
-    return deepest;
+    return result;
 }
 
 } // namespace
@@ -39,8 +50,10 @@
 nlohmann::json parse_json(std::string_view text)
 {
     using nlohmann::json;
-    return nesting_depth(text) > max_json_depth ? json(json::value_t::discarded)
-                                                : json::parse(text, nullptr, false);
+    const json_extent extent = extent_of(text);
+    return extent.depth > max_json_depth || extent.values > max_json_values
+               ? json(json::value_t::discarded)
+               : json::parse(text, nullptr, false);
 }
 
 } // namespace curranthoist::base
--- a/curranthoist/base/parse_json_test.cpp
+++ b/curranthoist/base/parse_json_test.cpp
@@ -23,6 +23,20 @@
     EXPECT_TRUE(parse_json(std::string(many_levels, '{')).is_discarded());
 }
 
+// Guards against a text of legal size whose values take many times its memory.
+TEST(parse_json_test, discards_what_has_too_many_values)
+{
+    const auto list = [](std::size_t values) {
+        std::string text = "[";
+        for (std::size_t i = 1; i < values; ++i) {
+            text += "1,";
+        }
+        return text + "1]";
+    };
+    EXPECT_FALSE(parse_json(list(max_json_values - 1)).is_discarded());
+    EXPECT_TRUE(parse_json(list(max_json_values + 1)).is_discarded());
+}
+
 TEST(parse_json_test, counts_no_brackets_of_texts_and_of_siblings)
 {
     const std::string brackets(max_json_depth + 1, '[');
