--- a/cmake/curranthoist_targets.cmake
+++ b/cmake/curranthoist_targets.cmake
@@ -16,6 +16,7 @@
     target_compile_options(curranthoist_flags INTERFACE -O1 -g1 -D_GLIBCXX_ASSERTIONS
         -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
     target_link_options(curranthoist_flags INTERFACE -fsanitize=address,undefined)
+    target_compile_definitions(curranthoist_flags INTERFACE CURRANTHOIST_SANITIZED)
 endif()
 if(CURRANTHOIST_FUZZ)
     # Linked with -fsanitize=fuzzer by the fuzz targets only, which brings its own main().
@@ -46,15 +47,17 @@
 endfunction()
 
 # curranthoist_test(name SOURCES a_test.cpp DEPS curranthoist_base ...)
+# RUN_ALONE: no other test runs beside one of these.
 function(curranthoist_test name)
     if(CURRANTHOIST_PROGRAMS_ONLY)
         return()
     endif()
-    cmake_parse_arguments(arg "" "TIMEOUT" "SOURCES;DEPS" ${ARGN})
+    cmake_parse_arguments(arg "RUN_ALONE" "TIMEOUT" "SOURCES;DEPS" ${ARGN})
     add_executable(${name} ${arg_SOURCES})
     target_link_libraries(${name} PRIVATE ${arg_DEPS} curranthoist_flags GTest::gtest_main GTest::gmock)
     if(NOT arg_TIMEOUT)
         set(arg_TIMEOUT 120)
     endif()
-    gtest_discover_tests(${name} DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT ${arg_TIMEOUT})
+    gtest_discover_tests(${name} DISCOVERY_TIMEOUT 60
+        PROPERTIES TIMEOUT ${arg_TIMEOUT} RUN_SERIAL ${arg_RUN_ALONE})
 endfunction()
--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/findings_error.hpp"
 #include "curranthoist/base/wall_clock.hpp"
 #include "curranthoist/consensus/membership.hpp"
+#include "curranthoist/cored/operator_server_options.hpp"
 
 #include <algorithm>
 #include <filesystem>
@@ -13,8 +14,6 @@
 
 namespace {
 
-// Longer than a configuration with several thousand routes.
-constexpr std::size_t max_operator_body_bytes = std::size_t{6} * 1024 * 1024;
 constexpr double tick_s = 0.1;
 // Without a leader or a vote for this time, it asks to be taken in. Elections take less.
 constexpr base::duration join_after{1500};
@@ -122,9 +121,7 @@
             });
     }
     server_ = std::make_unique<http::caller_server>(
-        loop_,
-        http::caller_server_options{.listen = *settings_.operators,
-                                    .max_body_bytes = max_operator_body_bytes},
+        loop_, operator_server_options(settings_),
         [this](const http::caller_request& request, const http::responder& answer) {
             requests_.answer(request, answer);
         });
--- a/curranthoist/cored/founding_phase.cpp
+++ b/curranthoist/cored/founding_phase.cpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/cored/founder_choice.hpp"
 #include "curranthoist/cored/founding_api.hpp"
+#include "curranthoist/cored/operator_server_options.hpp"
 #include "curranthoist/http/status.hpp"
 
 #include <utility>
@@ -21,7 +22,7 @@
     , choice_(choice)
     , on_founder_(std::move(on_founder))
     , first_seed_(loop, settings.seeds.front(), 1)
-    , server_(loop, http::caller_server_options{.listen = *settings.operators},
+    , server_(loop, operator_server_options(settings),
               [this](const http::caller_request& request, const http::responder& answer) {
                   if (request.path == founding_api::path) {
                       founding_api::answer_request(choice_, request, answer,
--- a/curranthoist/cored/observer_process.cpp
+++ b/curranthoist/cored/observer_process.cpp
@@ -4,6 +4,7 @@
 #include "curranthoist/cored/founder_choice.hpp"
 #include "curranthoist/cored/founding_api.hpp"
 #include "curranthoist/cored/join_client.hpp"
+#include "curranthoist/cored/operator_server_options.hpp"
 #include "curranthoist/http/status.hpp"
 
 #include <memory>
@@ -16,8 +17,6 @@
 namespace {
 
 constexpr double tick_s = 0.5;
-// A configuration is sent on to the leader by the operator, but it arrives here first.
-constexpr std::size_t max_operator_body_bytes = std::size_t{6} * 1024 * 1024;
 
 std::vector<base::endpoint> peers_of(const platform::node_settings& settings)
 {
@@ -59,9 +58,7 @@
                  const wire::hello& hello) {
               sessions_.on_session(std::move(session), hello);
           })
-    , server_(loop,
-              http::caller_server_options{.listen = *settings.operators,
-                                          .max_body_bytes = max_operator_body_bytes},
+    , server_(loop, operator_server_options(settings),
               [this](const http::caller_request& request, const http::responder& answer) {
                   on_request(request, answer);
               })
--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -26,6 +26,8 @@
 // One that has not reported at this part of the objective is lost or overloaded.
 constexpr double report_part_of_objective = 0.5;
 constexpr base::duration min_report_limit = 25_ms;
+// Each gatherer gets a copy of the request; the targets share one of a longer body.
+constexpr std::size_t max_gathered_body_bytes = std::size_t{16} * 1024;
 // A repeatable request is worth a log line for each send that is not the first.
 constexpr const char* first_send = "first";
 
@@ -54,12 +56,14 @@
 caller_task::caller_task(task_context& context,
                          std::shared_ptr<const deployment::route_table> table,
                          const deployment::route& route,
-                         platform::inbound_request request, http::responder answer)
+                         platform::inbound_request request, http::responder answer,
+                         std::shared_ptr<forwarding::open_request_limit::place> place)
     : context_(context)
     , table_(std::move(table))
     , route_(route)
     , request_(std::move(request))
     , answer_(std::move(answer))
+    , place_(std::move(place))
     , arrived_(clock_.now())
     , latency_(context.latencies[route.name])
     , timer_(context.loop)
@@ -94,7 +98,8 @@
         }
     });
     std::vector<forwarding::gather_group> groups;
-    if (route_.gathers() && context_.gather != nullptr) {
+    if (route_.gathers() && context_.gather != nullptr &&
+        request_.body->size() <= max_gathered_body_bytes) {
         groups =
             forwarding::plan_gather(route_.shards, context_.gather->available(),
                                     context_.directory, context_.own_name, clock_.now());
@@ -176,7 +181,7 @@
     request.method = request_.method;
     request.target = request_.target;
     request.header_lines = *request_.header_lines;
-    request.body.assign(request_.body.begin(), request_.body.end());
+    request.body.assign(request_.body->begin(), request_.body->end());
     request.top_records = static_cast<std::uint32_t>(route_.top_records);
     for (std::size_t i = 0; i < action.calls.size(); ++i) {
         request.services.push_back(run_->service_of(action.shards[i]).str());
@@ -453,17 +458,16 @@
     case final_outcome::complete:
     case final_outcome::partial:
         context_.returns.on_served(run_->service_of(0), clock_.now());
-        response =
-            route_.gathers()
-                ? sends_.gathered_response(action.answers, run_->shard_count(),
-                                           route_.top_records)
-                : platform::forward_response(*sends_.at(action.answers.front()).response);
+        response = route_.gathers()
+                       ? sends_.gathered_response(action.answers, run_->shard_count(),
+                                                  route_.top_records)
+                       : platform::forward_response(
+                             std::move(*sends_.at(action.answers.front()).response));
         break;
     case final_outcome::target_failure: {
-        const platform::target_response& from =
-            *sends_.at(action.answers.front()).response;
+        platform::target_response& from = *sends_.at(action.answers.front()).response;
         response = platform::may_forward_failure(from.content.status)
-                       ? platform::forward_response(from)
+                       ? platform::forward_response(std::move(from))
                        : platform::own_response(status::bad_gateway, "the target failed",
                                                 std::nullopt);
         break;
@@ -512,6 +516,7 @@
     ended_ = true;
     timer_.stop();
     end_groups();
+    place_.reset();
     const base::duration took = clock_.now() - arrived_;
     context_.metrics
         .counter_named("curranthoist_requests_total", "Callers' requests by outcome",
--- a/curranthoist/frontd/caller_task.hpp
+++ b/curranthoist/frontd/caller_task.hpp
@@ -4,6 +4,7 @@
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/deployment/route_table.hpp"
+#include "curranthoist/forwarding/open_request_limit.hpp"
 #include "curranthoist/forwarding/request_attempts.hpp"
 #include "curranthoist/frontd/request_sends.hpp"
 #include "curranthoist/http/responder.hpp"
@@ -37,7 +38,8 @@
     caller_task(task_context& context,
                 std::shared_ptr<const deployment::route_table> table,
                 const deployment::route& route, platform::inbound_request request,
-                http::responder answer);
+                http::responder answer,
+                std::shared_ptr<forwarding::open_request_limit::place> place);
     caller_task(const caller_task&) = delete;
     caller_task& operator=(const caller_task&) = delete;
 
@@ -83,6 +85,8 @@
     const deployment::route& route_;
     platform::inbound_request request_;
     http::responder answer_;
+    // Its part of the requests that the process may have open.
+    std::shared_ptr<forwarding::open_request_limit::place> place_;
     base::monotonic_clock clock_;
     base::instant arrived_;
     base::instant hard_limit_;
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -24,6 +24,8 @@
 // started with it.
 constexpr base::duration start_time{800};
 constexpr base::duration least_retry_after{50};
+// When a caller may come back that found too many requests open.
+constexpr base::duration full_retry_after{250};
 // The load balancer asks once a second and believes the second miss; then it sends no new
 // connections.
 constexpr base::duration balancer_delay{2500};
@@ -40,6 +42,8 @@
 // The services that need connections are determined once in this time.
 constexpr base::duration connected_services_interval{1000};
 constexpr std::size_t max_caller_connections = 2500;
+// Descriptors that the platform keeps for files.
+constexpr std::size_t reserved_descriptors = 200;
 // The part of the process's memory that callers' connections may take.
 constexpr std::size_t caller_memory_divisor = 4;
 // Bodies are kept in memory, so that the operators' limit holds only below this one.
@@ -47,6 +51,15 @@
 // The part of the process's memory that the bodies of targets' responses may fill; their
 // buffers may take twice as much.
 constexpr std::size_t response_memory_divisor = 8;
+// The part that the bodies of callers' requests may fill.
+constexpr std::size_t request_memory_divisor = 8;
+// The part that open requests may take besides their bodies, and what one send to a
+// target takes of it.
+constexpr std::size_t send_memory_divisor = 4;
+constexpr std::size_t bytes_for_send = std::size_t{4} * 1024;
+// The part of the connections that have no open request, so that one of them can make
+// room for a new caller.
+constexpr std::size_t idle_connection_divisor = 4;
 // Longer than callers keep an idle connection, so that they close it first.
 constexpr unsigned idle_seconds = 60;
 
@@ -67,19 +80,41 @@
             static_cast<std::uint16_t>(settings.first_internal_port + 1)};
 }
 
-http::caller_server_options caller_options(const platform::node_settings& settings)
+// The descriptors that callers' connections may take, and those to targets.
+std::size_t descriptor_share(const platform::node_settings& settings)
+{
+    const std::size_t usable =
+        std::max(settings.max_descriptors, 2 * reserved_descriptors) -
+        reserved_descriptors;
+    return usable * 3 / 8;
+}
+
+http::caller_server_options
+caller_options(const platform::node_settings& settings,
+               std::shared_ptr<http::memory_account> response_memory)
 {
     http::caller_server_options result;
     result.listen = *settings.callers;
     const std::size_t connections =
         settings.memory_bytes / caller_memory_divisor /
         http::caller_server::connection_bytes(result.max_header_bytes);
-    result.max_connections =
-        static_cast<unsigned>(std::min(connections, max_caller_connections));
+    result.max_connections = static_cast<unsigned>(
+        std::min({connections, descriptor_share(settings), max_caller_connections}));
     result.idle_seconds = idle_seconds;
+    result.max_request_memory =
+        std::max(settings.memory_bytes / request_memory_divisor, max_caller_body_bytes);
+    result.response_memory = std::move(response_memory);
     return result;
 }
 
+forwarding::open_request_limit::options
+open_request_options(const platform::node_settings& settings)
+{
+    const std::size_t connections = caller_options(settings, nullptr).max_connections;
+    return {connections - connections / idle_connection_divisor,
+            settings.memory_bytes / send_memory_divisor / bytes_for_send};
+}
+
 platform::node_settings checked(platform::node_settings settings)
 {
     base::findings found;
@@ -104,8 +139,10 @@
                forwarding::extra_send_budget({settings_.extra_ratio,
                                               settings_.extra_slack,
                                               settings_.extra_window}),
-               target_pool(loop, std::make_shared<http::response_memory>(
-                                     settings_.memory_bytes / response_memory_divisor)),
+               target_pool(loop,
+                           std::make_shared<http::memory_account>(
+                               settings_.memory_bytes / response_memory_divisor),
+                           descriptor_share(settings_)),
                base::random_source(std::random_device()()),
                {},
                base::logger("request"),
@@ -118,18 +155,20 @@
     , started_(clock_.now())
 {
     context_.gather = &gather_links_;
+    context_.open_requests =
+        forwarding::open_request_limit(open_request_options(settings_));
     context_.own_name = settings_.name;
     links_ = std::make_unique<coreclient::core_links>(loop_, base::vm_id(settings_.name),
                                                       settings_.zone, peers_of(settings_),
                                                       link_handlers());
     links_->offer_gathering(gather_endpoint(settings_));
     callers_ = std::make_unique<http::caller_server>(
-        loop_, caller_options(settings_),
+        loop_, caller_options(settings_, context_.pool.shared_memory()),
         [this](http::caller_request request, http::responder answer) {
             on_request(std::move(request), std::move(answer));
         });
     readiness_ = std::make_unique<http::caller_server>(
-        loop_, http::caller_server_options{.listen = *settings_.readiness},
+        loop_, http::caller_server_options::for_probes(*settings_.readiness),
         [this](const http::caller_request& request, const http::responder& answer) {
             on_readiness(request, answer);
         });
@@ -203,6 +242,7 @@
         callers_->set_request_limits(
             now.limits.max_header_bytes,
             std::min(now.limits.max_body_bytes, max_caller_body_bytes));
+        callers_->set_time_limits(now.limits.idle_timeout, now.limits.header_timeout);
         log_.info("event=configuration_in_force version=" + std::to_string(now.version) +
                   " routes=" + std::to_string(now.routes.size()));
     }
@@ -246,9 +286,14 @@
             platform::own_response(http::status::not_found, "no route", std::nullopt));
         return;
     }
+    auto place = context_.open_requests.take(route->gathers() ? route->shards.size() : 1);
+    if (!place) {
+        refuse(inbound, answer, "too many requests are open", full_retry_after);
+        return;
+    }
     const std::uint64_t number = ++last_task_;
     auto task = std::make_shared<caller_task>(context_, table, *route, std::move(inbound),
-                                              std::move(answer));
+                                              std::move(answer), std::move(place));
     tasks_[number] = task;
     task->start([this, number] {
         const auto found = tasks_.find(number);
@@ -297,6 +342,16 @@
         .gauge_named("curranthoist_responses_refused_for_memory",
                      "Targets' responses that were cut off for want of memory")
         .set(static_cast<std::int64_t>(context_.pool.memory().refusals()));
+    metrics
+        .gauge_named("curranthoist_request_memory_bytes",
+                     "Counted bytes of callers' requests")
+        .set(static_cast<std::int64_t>(callers_->request_memory().used()));
+    metrics
+        .gauge_named("curranthoist_caller_connections_evicted",
+                     "Callers' connections that were closed to make room for others")
+        .set(static_cast<std::int64_t>(callers_->evicted_connections()));
+    metrics.gauge_named("curranthoist_open_sends", "Sends that open requests may need")
+        .set(static_cast<std::int64_t>(context_.open_requests.sends()));
     metrics.gauge_named("curranthoist_core_members", "Core members that answer")
         .set(static_cast<std::int64_t>(links_->live_members()));
     metrics.gauge_named("curranthoist_open_requests", "Requests without an answer yet")
@@ -427,6 +482,7 @@
     gather_server_.drop_ended();
     gather_links_.check();
     context_.pool.drop_idle();
+    context_.pool.retry_waiting();
     // For what targets said of themselves, and what was found out about them.
     withdraw_unsent(now);
     probe_targets(now);
--- a/curranthoist/frontd/gather_server.cpp
+++ b/curranthoist/frontd/gather_server.cpp
@@ -53,11 +53,13 @@
 void gather_server::on_request(std::uint64_t connection,
                                const wire::gather_request& request)
 {
-    if (stopping_ || !context_.configuration || !context_.directory.has_listing()) {
+    const std::size_t count =
+        request.services() == nullptr ? 0 : request.services()->size();
+    auto place = context_.open_requests.take(count);
+    if (stopping_ || !place || !context_.configuration ||
+        !context_.directory.has_listing()) {
         wire::gather_report_message refusal;
         refusal.id = request.id();
-        const std::size_t count =
-            request.services() == nullptr ? 0 : request.services()->size();
         for (std::size_t i = 0; i < count; ++i) {
             auto entry = std::make_unique<wire::ungathered_part_message>();
             entry->shard = static_cast<std::uint32_t>(i);
@@ -68,7 +70,7 @@
         return;
     }
     const task_key key{connection, request.id()};
-    auto task = std::make_shared<gather_task>(context_, request);
+    auto task = std::make_shared<gather_task>(context_, request, std::move(place));
     if (!tasks_.emplace(key, task).second) {
         log_.warn("event=gather_request_repeated id=" + std::to_string(request.id()));
         return;
--- a/curranthoist/frontd/gather_task.cpp
+++ b/curranthoist/frontd/gather_task.cpp
@@ -30,14 +30,16 @@
     request.header_lines =
         std::make_shared<const std::string>(text_of(from.header_lines()));
     if (from.body() != nullptr) {
-        request.body.assign(from.body()->begin(), from.body()->end());
+        request.body =
+            std::make_shared<const std::string>(from.body()->begin(), from.body()->end());
     }
     return request;
 }
 
 } // namespace
 
-gather_task::gather_task(task_context& context, const wire::gather_request& request)
+gather_task::gather_task(task_context& context, const wire::gather_request& request,
+                         std::shared_ptr<forwarding::open_request_limit::place> place)
     : context_(context)
     , id_(request.id())
     , request_(request_of(request))
@@ -46,6 +48,7 @@
     , deadline_(clock_.now() +
                 base::duration(static_cast<std::int64_t>(request.time_left_ms())))
     , latency_(context.latencies[text_of(request.route())])
+    , place_(std::move(place))
     , timer_(context.loop)
 {
     timer_.set<gather_task, &gather_task::on_timer>(this);
--- a/curranthoist/frontd/gather_task.hpp
+++ b/curranthoist/frontd/gather_task.hpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/instant.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/deployment/configuration.hpp"
+#include "curranthoist/forwarding/open_request_limit.hpp"
 #include "curranthoist/forwarding/response_kind.hpp"
 #include "curranthoist/http/target_client.hpp"
 #include "curranthoist/platform/caller_exchange.hpp"
@@ -31,7 +32,8 @@
     using end_handler = std::function<void()>;
 
     // The context must outlive the task; the message is not needed after construction.
-    gather_task(task_context& context, const wire::gather_request& request);
+    gather_task(task_context& context, const wire::gather_request& request,
+                std::shared_ptr<forwarding::open_request_limit::place> place);
     gather_task(const gather_task&) = delete;
     gather_task& operator=(const gather_task&) = delete;
 
@@ -75,6 +77,8 @@
     base::instant deadline_;
     route_latency& latency_;
     std::vector<part> parts_;
+    // Its part of the requests that the process may have open.
+    std::shared_ptr<forwarding::open_request_limit::place> place_;
     std::size_t open_parts_ = 0;
     bool reported_ = false;
     bool ended_ = false;
--- a/curranthoist/frontd/target_pool.cpp
+++ b/curranthoist/frontd/target_pool.cpp
@@ -15,6 +15,7 @@
     if (!found) {
         found = std::make_unique<http::target_client>(loop_, address, max_connections);
         found->limit_memory(memory_);
+        found->limit_sockets(sockets_);
         found->set_socket_handler(
             [this, id, &client = *found](http::target_client::call_number, bool) {
                 if (on_connections_) {
@@ -28,6 +29,29 @@
     return *found;
 }
 
+bool target_pool::close_idle_socket()
+{
+    // In turns, so that no target loses all of its connections.
+    auto next = clients_.upper_bound(last_closed_);
+    for (std::size_t i = 0; i < clients_.size(); ++i, ++next) {
+        next = next == clients_.end() ? clients_.begin() : next;
+        if (next->second->close_idle()) {
+            last_closed_ = next->first;
+            return true;
+        }
+    }
+    return false;
+}
+
+void target_pool::retry_waiting()
+{
+    for (const auto& [id, client] : clients_) {
+        if (client->has_waiting_calls()) {
+            client->retry_waiting();
+        }
+    }
+}
+
 http::target_client* target_pool::find(const base::target_id& id)
 {
     const auto found = clients_.find(id);
--- a/curranthoist/frontd/target_pool.hpp
+++ b/curranthoist/frontd/target_pool.hpp
@@ -24,11 +24,18 @@
     using connection_handler =
         std::function<void(const base::target_id& id, std::size_t count)>;
 
-    // The responses of all targets hold `memory` together at most.
-    target_pool(ev::loop_ref loop, std::shared_ptr<http::response_memory> memory)
+    // The responses of all targets hold `memory` together at most, and their connections
+    // take `max_sockets`.
+    target_pool(ev::loop_ref loop, std::shared_ptr<http::memory_account> memory,
+                std::size_t max_sockets)
         : loop_(loop)
         , memory_(std::move(memory))
-    {}
+        , sockets_(std::make_shared<http::socket_budget>(max_sockets))
+    {
+        sockets_->on_shortage([this] { return close_idle_socket(); });
+    }
+    target_pool(const target_pool&) = delete;
+    target_pool& operator=(const target_pool&) = delete;
 
     void set_connection_handler(connection_handler handler)
     {
@@ -54,16 +61,27 @@
             }
         }
     }
+    // Lets calls go on that waited for a socket.
+    void retry_waiting();
     // Drops retired clients without calls; must not be called from a result handler.
     void drop_idle();
     [[nodiscard]] std::size_t open_sockets() const;
-    [[nodiscard]] const http::response_memory& memory() const { return *memory_; }
+    [[nodiscard]] const http::memory_account& memory() const { return *memory_; }
+    // The account that holds the targets' responses until their callers have them.
+    [[nodiscard]] const std::shared_ptr<http::memory_account>& shared_memory() const
+    {
+        return memory_;
+    }
 
 private:
+    bool close_idle_socket();
     void retire(std::unique_ptr<http::target_client> client);
 
     ev::loop_ref loop_;
-    std::shared_ptr<http::response_memory> memory_;
+    std::shared_ptr<http::memory_account> memory_;
+    std::shared_ptr<http::socket_budget> sockets_;
+    // The client that closed an idle socket for another one last.
+    base::target_id last_closed_;
     connection_handler on_connections_;
     std::map<base::target_id, std::unique_ptr<http::target_client>> clients_;
     std::vector<std::unique_ptr<http::target_client>> retired_;
--- a/curranthoist/frontd/task_context.hpp
+++ b/curranthoist/frontd/task_context.hpp
@@ -5,6 +5,7 @@
 #include "curranthoist/base/random_source.hpp"
 #include "curranthoist/deployment/configuration.hpp"
 #include "curranthoist/forwarding/extra_send_budget.hpp"
+#include "curranthoist/forwarding/open_request_limit.hpp"
 #include "curranthoist/forwarding/return_schedule.hpp"
 #include "curranthoist/forwarding/target_directory.hpp"
 #include "curranthoist/frontd/route_latency.hpp"
@@ -46,6 +47,8 @@
     std::shared_ptr<const deployment::configuration> configuration = nullptr;
     // When callers come back whose requests have not run.
     forwarding::return_schedule returns = {};
+    // The requests of callers and of other fronts that are open at once.
+    forwarding::open_request_limit open_requests{{}};
 
     // The client of a target, within this process's part of the connections that the
     // configuration allows.
--- a/curranthoist/http/caller_request.hpp
+++ b/curranthoist/http/caller_request.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "curranthoist/http/header_map.hpp"
+#include "curranthoist/http/memory_account.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,6 +27,8 @@
     argument_map arguments = {};
     header_map headers = {};
     std::string body = {};
+    // The body's part of the server's memory for requests; null if it takes none.
+    std::shared_ptr<memory_account::reservation> held_memory = {};
     // Number of the connection it came on, from 1, unique in the server's life.
     std::uint64_t connection = 0;
     // True if it is the first request on that connection.
--- a/curranthoist/http/caller_server.cpp
+++ b/curranthoist/http/caller_server.cpp
@@ -1,8 +1,10 @@
 #include "curranthoist/http/caller_server.hpp"
 
+#include "curranthoist/http/internal/connection_load.hpp"
 #include "curranthoist/http/internal/connection_memory.hpp"
 #include "curranthoist/http/internal/exchange.hpp"
 #include "curranthoist/http/internal/listening_socket.hpp"
+#include "curranthoist/http/internal/response_body.hpp"
 #include "curranthoist/http/internal/response_builder.hpp"
 
 #include <algorithm>
@@ -11,6 +13,8 @@
 #include <charconv>
 #include <stdexcept>
 #include <system_error>
+#include <utility>
+#include <vector>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -22,14 +26,38 @@
 
 namespace {
 
+using internal::connection_load;
 using internal::connection_memory;
+using internal::connection_state;
 using internal::exchange;
 using internal::exchange_phase;
+using internal::shortage;
 
 // How much of a body over the limit is read, so that a caller that is still sending sees
 // the refusal rather than a reset.
 constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
 constexpr double milliseconds_per_second = 1000.0;
+// Connections of which the library takes care beyond the limit while others make room,
+// and the part of the limit that they are at most.
+constexpr unsigned max_spare_connections = 32;
+constexpr unsigned spare_divisor = 4;
+
+unsigned spare_connections(unsigned max_connections)
+{
+    return std::min(max_spare_connections, max_connections / spare_divisor + 1);
+}
+// Bodies up to this size are not counted.
+constexpr std::size_t min_counted_body_bytes = std::size_t{4} * 1024;
+constexpr double limit_check_s = 1.0;
+
+// Sent on connections whose request was not handed over.
+constexpr std::string_view no_memory_response = "HTTP/1.1 503 Service Unavailable\r\n"
+                                                "Retry-After: 1\r\n"
+                                                "Connection: close\r\n"
+                                                "Content-Length: 0\r\n\r\n";
+constexpr std::string_view too_slow_response = "HTTP/1.1 408 Request Timeout\r\n"
+                                               "Connection: close\r\n"
+                                               "Content-Length: 0\r\n\r\n";
 
 MHD_Result collect_header(void* into, MHD_ValueKind /*kind*/, const char* key,
                           const char* value)
@@ -105,6 +133,12 @@
     return sum;
 }
 
+bool has_input(int descriptor)
+{
+    char byte = 0;
+    return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool is_live(int descriptor)
 {
     tcp_info info{};
@@ -120,6 +154,10 @@
     : loop_(loop)
     , options_(std::move(options))
     , block_bytes_(connection_bytes(options_.max_header_bytes))
+    , request_memory_(std::make_shared<memory_account>(options_.max_request_memory))
+    , response_memory_(options_.response_memory ? options_.response_memory
+                                                : std::make_shared<memory_account>(
+                                                      options_.max_request_memory))
     , on_request_(std::move(on_request))
     , listener_(internal::open_listening_socket(options_.listen))
     , local_(internal::bound_endpoint(listener_))
@@ -128,16 +166,24 @@
     , daemon_timer_(loop)
     , close_watcher_(loop)
     , handshake_timer_(loop)
+    , limit_timer_(loop)
 {
     daemon_watcher_.set<caller_server, &caller_server::on_daemon_event>(this);
     daemon_timer_.set<caller_server, &caller_server::on_daemon_timer>(this);
     close_watcher_.set<caller_server, &caller_server::on_peer_close_event>(this);
     handshake_timer_.set<caller_server, &caller_server::on_handshakes_over>(this);
+    limit_timer_.set<caller_server, &caller_server::on_time_limit>(this);
+    request_memory_->on_shortage(
+        [this] { return evict(shortage::request_memory, growing_); });
+    response_memory_->on_shortage([this] { return evict(shortage::response_memory); });
     start_daemon();
 }
 
 caller_server::~caller_server()
 {
+    // What is held may outlive the server.
+    request_memory_->on_shortage(nullptr);
+    response_memory_->on_shortage(nullptr);
     daemon_watcher_.stop();
     daemon_timer_.stop();
     close_watcher_.stop();
@@ -159,7 +205,8 @@
     daemon_ = MHD_start_daemon(
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, &accept_callback, this,
         &access_callback, this, MHD_OPTION_LISTEN_SOCKET, listener_,
-        MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
+        MHD_OPTION_CONNECTION_LIMIT,
+        options_.max_connections + spare_connections(options_.max_connections),
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, block_bytes_, MHD_OPTION_CONNECTION_TIMEOUT,
         options_.idle_seconds, MHD_OPTION_URI_LOG_CALLBACK, &target_callback, this,
         MHD_OPTION_NOTIFY_COMPLETED, &completed_callback, this,
@@ -186,6 +233,104 @@
     options_.max_body_bytes = max_body_bytes;
 }
 
+void caller_server::set_time_limits(base::duration idle, base::duration head)
+{
+    idle_limit_ = idle;
+    head_limit_ = head;
+    if (!limit_timer_.is_active()) {
+        limit_timer_.start(limit_check_s, limit_check_s);
+    }
+}
+
+void caller_server::on_time_limit(ev::timer& /*watcher*/, int /*events*/)
+{
+    const base::instant now = clock_.now();
+    for (auto& [connection, entry] : connections_) {
+        const connection_load load = load_of(connection, entry);
+        const base::duration silent = now - load.last_progress;
+        if (load.state == connection_state::idle && silent >= idle_limit_ + head_limit_ &&
+            !has_input(entry.descriptor)) {
+            shut_down(connection, entry, {});
+        }
+        else if (load.state == connection_state::receiving && silent >= idle_limit_) {
+            shut_down(connection, entry, too_slow_response);
+        }
+    }
+}
+
+connection_load caller_server::load_of(MHD_Connection* connection,
+                                       const connection_entry& entry) const
+{
+    if (entry.closing) {
+        return {connection_state::running, entry.opened, entry.opened};
+    }
+    const auto found = exchanges_.find(connection);
+    if (found == exchanges_.end()) {
+        return {connection_state::idle, entry.opened, entry.idle_since};
+    }
+    const exchange& current = *found->second;
+    switch (current.phase) {
+    case exchange_phase::reading:
+    case exchange_phase::discarding:
+        return {connection_state::receiving, current.began, current.last_progress,
+                current.request.body.size()};
+    case exchange_phase::answered:
+        return {connection_state::sending, current.began,
+                std::max(current.last_progress, current.sending
+                                                    ? current.sending->last_read
+                                                    : current.last_progress)};
+    case exchange_phase::waiting:
+    case exchange_phase::closed:
+        break;
+    }
+    return {connection_state::running, current.began, current.last_progress};
+}
+
+bool caller_server::evict(shortage what, const exchange* growing)
+{
+    std::vector<connection_load> loads;
+    loads.reserve(connections_.size());
+    for (const auto& [connection, entry] : connections_) {
+        loads.push_back(load_of(connection, entry));
+    }
+    const auto chosen = internal::connection_to_close(loads, what, clock_.now());
+    if (!chosen) {
+        return false;
+    }
+    const auto entry =
+        std::next(connections_.begin(), static_cast<std::ptrdiff_t>(*chosen));
+    if (growing != nullptr && growing->connection() == entry->first) {
+        return false;
+    }
+    shut_down(entry->first, entry->second,
+              loads[*chosen].state == connection_state::receiving ? no_memory_response
+                                                                  : std::string_view());
+    ++evicted_;
+    return true;
+}
+
+void caller_server::shut_down(MHD_Connection* connection, connection_entry& entry,
+                              std::string_view response)
+{
+    if (!response.empty()) {
+        ::send(entry.descriptor, response.data(), response.size(),
+               MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+    // libmicrohttpd sees the end of the stream and closes the socket.
+    ::shutdown(entry.descriptor, SHUT_RDWR);
+    entry.closing = true;
+    ++closing_;
+    if (const auto found = exchanges_.find(connection); found != exchanges_.end()) {
+        exchange& current = *found->second;
+        current.phase = exchange_phase::closed;
+        current.request.body = {};
+        current.request.held_memory.reset();
+        if (current.sending) {
+            current.sending->release();
+        }
+    }
+}
+
 void caller_server::run_daemon()
 {
     MHD_run(daemon_);
@@ -289,11 +434,8 @@
         if (!entry.used && now - entry.opened < first_request_time) {
             continue;
         }
-        char byte = 0;
-        const bool has_input =
-            ::recv(entry.descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
         // libmicrohttpd sees the end of the stream and closes the socket.
-        if (!has_input && !exchanges_.contains(connection)) {
+        if (!has_input(entry.descriptor) && !exchanges_.contains(connection)) {
             ::shutdown(entry.descriptor, SHUT_RDWR);
         }
     }
@@ -324,11 +466,18 @@
         const int on = 1;
         const int descriptor = descriptor_of(connection);
         setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-        server.connections_[connection] = {++server.last_connection_, descriptor,
-                                           server.clock_.now()};
+        const base::instant now = server.clock_.now();
+        if (server.connections_.size() - server.closing_ >=
+                server.options_.max_connections &&
+            !server.evict(shortage::connections)) {
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+        server.connections_[connection] = {++server.last_connection_, descriptor, now,
+                                           now};
     }
     const std::uint64_t number = server.connections_[connection].number;
     if (!open) {
+        server.closing_ -= server.connections_[connection].closing ? 1 : 0;
         server.connections_.erase(connection);
         server.targets_.erase(connection);
     }
@@ -382,6 +531,8 @@
     request.connection_was_new = !entry.used;
     entry.used = true;
     request.connection = entry.number;
+    current->began = clock_.now();
+    current->last_progress = current->began;
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect_header,
                               &request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect_argument,
@@ -425,7 +576,16 @@
         current.phase = exchange_phase::discarding;
         body.clear();
     }
+    if (current.phase == exchange_phase::closed) {
+        return MHD_NO;
+    }
+    current.last_progress = clock_.now();
     if (current.phase == exchange_phase::reading) {
+        if (!reserve_body(current, *size)) {
+            shut_down(current.connection(), connections_.at(current.connection()),
+                      no_memory_response);
+            return MHD_NO;
+        }
         body.append(data, *size);
     }
     else {
@@ -435,6 +595,33 @@
     return current.discarded_bytes > max_discarded_bytes ? MHD_NO : MHD_YES;
 }
 
+bool caller_server::reserve_body(exchange& current, std::size_t more)
+{
+    std::string& body = current.request.body;
+    const std::size_t needed = body.size() + more;
+    if (needed <= body.capacity()) {
+        return true;
+    }
+    std::size_t capacity = std::max(needed, body.capacity() * 2);
+    if (const std::size_t announced = announced_length(current.request)) {
+        capacity = std::max(needed, std::min(capacity, announced));
+    }
+    if (capacity > min_counted_body_bytes) {
+        auto& held = current.request.held_memory;
+        if (!held) {
+            held = std::make_shared<memory_account::reservation>(request_memory_);
+        }
+        growing_ = &current;
+        const bool fits = held->grow(capacity);
+        growing_ = nullptr;
+        if (!fits) {
+            return false;
+        }
+    }
+    body.reserve(capacity);
+    return true;
+}
+
 MHD_Result caller_server::finish_exchange(exchange& current)
 {
     if (current.phase == exchange_phase::discarding) {
@@ -454,7 +641,7 @@
     }
     // The library would close the connection without a response. The request has run.
     return head_bytes(*current.response) <= current.response_head_room
-               ? queue_response(current.connection(), *current.response)
+               ? queue_own_response(current)
                : queue_response(current.connection(),
                                 {.status = MHD_HTTP_BAD_GATEWAY,
                                  .body = R"({"error":"the headers of the response )"
@@ -474,10 +661,38 @@
     return queue_response(connection, internal::refusal(status, error));
 }
 
+MHD_Result caller_server::queue_own_response(exchange& current)
+{
+    caller_response& answer = *current.response;
+    if (answer.body.size() <= uncounted_body_bytes || answer.break_after) {
+        return queue_response(current.connection(), answer);
+    }
+    auto body = std::make_shared<internal::response_body>();
+    body->held_memory = std::move(answer.held_memory);
+    if (!body->held_memory) {
+        body->held_memory =
+            std::make_shared<memory_account::reservation>(response_memory_);
+        if (!body->held_memory->grow(answer.body.size())) {
+            return queue_response(current.connection(),
+                                  {.status = MHD_HTTP_BAD_GATEWAY,
+                                   .body = R"({"error":"no memory for the response"})"});
+        }
+    }
+    body->bytes = std::move(answer.body);
+    body->last_read = clock_.now();
+    current.sending = body;
+    return queue(current.connection(), answer, internal::make_response(std::move(body)));
+}
+
 MHD_Result caller_server::queue_response(MHD_Connection* connection,
                                          const caller_response& answer)
 {
-    MHD_Response* response = internal::make_response(answer);
+    return queue(connection, answer, internal::make_response(answer));
+}
+
+MHD_Result caller_server::queue(MHD_Connection* connection, const caller_response& answer,
+                                MHD_Response* response)
+{
     for (const auto& [name, value] : answer.headers) {
         MHD_add_response_header(response, name.c_str(), value.c_str());
     }
@@ -513,6 +728,10 @@
 {
     auto& server = *static_cast<caller_server*>(self);
     *context = nullptr;
+    if (const auto entry = server.connections_.find(connection);
+        entry != server.connections_.end()) {
+        entry->second.idle_since = server.clock_.now();
+    }
     const auto found = server.exchanges_.find(connection);
     if (found != server.exchanges_.end()) {
         found->second->detach();
--- a/curranthoist/http/caller_server.hpp
+++ b/curranthoist/http/caller_server.hpp
@@ -4,6 +4,7 @@
 #include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/http/caller_request.hpp"
 #include "curranthoist/http/caller_server_options.hpp"
+#include "curranthoist/http/memory_account.hpp"
 #include "curranthoist/http/responder.hpp"
 
 #include <ev++.h>
@@ -18,9 +19,16 @@
 
 namespace curranthoist::http {
 
+namespace internal {
+struct connection_load;
+enum class shortage;
+} // namespace internal
+
 // HTTP/1.1 server for callers, targets and operators: libmicrohttpd driven by the libev
 // loop. Requests are handed over whole; a request that is malformed or over a limit costs
-// its own connection and never reaches the handler.
+// its own connection and never reaches the handler. Connections, bodies that arrive and
+// responses that wait for their callers have limits for all callers together; who makes
+// the least progress gives way (internal/connection_load.hpp).
 //
 //     http::caller_server server(loop, {.listen = {"127.0.0.1", 8080}},
 //         [](http::caller_request request, http::responder answer) {
@@ -60,6 +68,10 @@
     // room for its response in the connection's memory, whose size stays as it is, is
     // refused with 431 also below the limit.
     void set_request_limits(std::size_t max_header_bytes, std::size_t max_body_bytes);
+    // Closes a connection on which no request has become complete for `idle` and `head`
+    // together, or on which a body has not moved for `idle`. Nothing is closed before the
+    // first call.
+    void set_time_limits(base::duration idle, base::duration head);
     // Replaces the filter of new connections; empty accepts all.
     void set_accept_filter(accept_filter filter) { accept_filter_ = std::move(filter); }
     void set_connection_handler(connection_handler handler)
@@ -85,6 +97,13 @@
     [[nodiscard]] std::size_t open_requests() const { return exchanges_.size(); }
     // Connections whose other end has not closed, as the kernel sees it now.
     [[nodiscard]] std::size_t live_connections() const;
+    // Connections that were closed so that others could be served.
+    [[nodiscard]] std::size_t evicted_connections() const { return evicted_; }
+    // The bodies of requests that are held.
+    [[nodiscard]] const memory_account& request_memory() const
+    {
+        return *request_memory_;
+    }
     // Where it listens, with the chosen port.
     [[nodiscard]] const base::endpoint& local() const { return local_; }
 
@@ -96,9 +115,14 @@
         std::uint64_t number;
         int descriptor;
         base::instant opened;
+        // When it was opened, or its last request ended.
+        base::instant idle_since;
         // A request has begun on it.
         bool used = false;
+        // This server has shut it down; the library has not closed it yet.
+        bool closing = false;
     };
+    using connection_map = std::map<MHD_Connection*, connection_entry>;
 
     static MHD_Result accept_callback(void* self, const sockaddr* address,
                                       socklen_t size);
@@ -121,6 +145,18 @@
     void on_daemon_event(ev::io& watcher, int events);
     void on_daemon_timer(ev::timer& watcher, int events);
     void on_peer_close_event(ev::io& watcher, int events);
+    void on_time_limit(ev::timer& watcher, int events);
+
+    // What the connection holds; it counts as running if it can't be closed.
+    [[nodiscard]] internal::connection_load load_of(MHD_Connection* connection,
+                                                    const connection_entry& entry) const;
+    // Closes the connection that makes the least progress. Returns false if there is
+    // none, or if it is that of `growing`, which is left alone.
+    bool evict(internal::shortage what, const internal::exchange* growing = nullptr);
+    // Closes a connection after a response that its caller may not read. The request on
+    // it, if there is one, has not been handed over or has been answered.
+    void shut_down(MHD_Connection* connection, connection_entry& entry,
+                   std::string_view response);
 
     MHD_Result begin_exchange(MHD_Connection* connection, const char* url,
                               const char* method, void** context);
@@ -132,7 +168,14 @@
     MHD_Result finish_exchange(internal::exchange& current);
     MHD_Result refuse_early(MHD_Connection* connection, unsigned status,
                             std::string_view error);
+    // Makes room for the body with what has arrived and `more` bytes; false if the memory
+    // for requests has none.
+    bool reserve_body(internal::exchange& current, std::size_t more);
     MHD_Result queue_response(MHD_Connection* connection, const caller_response& answer);
+    // The same for the response of an exchange, whose body is not copied if it is long.
+    MHD_Result queue_own_response(internal::exchange& current);
+    MHD_Result queue(MHD_Connection* connection, const caller_response& answer,
+                     MHD_Response* response);
     void deliver(internal::exchange& current);
     void suspend(internal::exchange& current);
     void resume(internal::exchange& current);
@@ -142,6 +185,14 @@
     caller_server_options options_;
     // The memory of each connection.
     std::size_t block_bytes_;
+    std::shared_ptr<memory_account> request_memory_;
+    std::shared_ptr<memory_account> response_memory_;
+    // The body that grows at this moment.
+    const internal::exchange* growing_ = nullptr;
+    std::size_t closing_ = 0;
+    std::size_t evicted_ = 0;
+    base::duration idle_limit_{};
+    base::duration head_limit_{};
     request_handler on_request_;
     accept_filter accept_filter_;
     connection_handler on_connection_;
@@ -156,11 +207,12 @@
     ev::io close_watcher_;
     // Runs from stop_accepting() until the listening socket is closed.
     ev::timer handshake_timer_;
+    ev::timer limit_timer_;
     base::monotonic_clock clock_;
     bool listening_ = true;
     bool announces_close_ = false;
     std::uint64_t last_connection_ = 0;
-    std::map<MHD_Connection*, connection_entry> connections_;
+    connection_map connections_;
     // Path and query of the request that each connection is receiving.
     std::map<MHD_Connection*, std::string> targets_;
     std::map<MHD_Connection*, std::shared_ptr<internal::exchange>> exchanges_;
--- a/curranthoist/http/endless_response_test.cpp
+++ b/curranthoist/http/endless_response_test.cpp
@@ -132,7 +132,7 @@
     constexpr std::size_t capacity = std::size_t{1024} * 1024;
     constexpr std::size_t calls = 8;
     serve("HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n", "b");
-    const auto memory = std::make_shared<response_memory>(capacity);
+    const auto memory = std::make_shared<memory_account>(capacity);
     client_->limit_memory(memory);
     std::size_t peak = 0;
     std::vector<target_result> results;
--- a/curranthoist/http/internal/exchange.cpp
+++ b/curranthoist/http/internal/exchange.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/http/internal/exchange.hpp"
 
+#include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/http/caller_server.hpp"
 
 namespace curranthoist::http::internal {
@@ -10,6 +11,7 @@
         return false;
     }
     response = std::move(answer);
+    last_progress = base::monotonic_clock().now();
     phase = exchange_phase::answered;
     on_close = nullptr;
     if (suspended) {
--- a/curranthoist/http/internal/exchange.hpp
+++ b/curranthoist/http/internal/exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "curranthoist/base/instant.hpp"
 #include "curranthoist/http/caller_request.hpp"
 #include "curranthoist/http/caller_response.hpp"
 
@@ -7,6 +8,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace curranthoist::http {
@@ -15,6 +17,8 @@
 
 namespace curranthoist::http::internal {
 
+struct response_body;
+
 // How far one request has come.
 enum class exchange_phase
 {
@@ -49,6 +53,12 @@
     std::size_t discarded_bytes = 0;
     // The bytes that the header lines of the response may have.
     std::size_t response_head_room = 0;
+    // When the request began, and when it last made progress: a piece of its body
+    // arrived, or it was answered.
+    base::instant began;
+    base::instant last_progress;
+    // The body that is being sent, if it is counted.
+    std::shared_ptr<response_body> sending;
 
     bool respond(caller_response answer);
     // Closes the connection without a response unless the request was answered.
--- a/curranthoist/http/internal/listening_socket.cpp
+++ b/curranthoist/http/internal/listening_socket.cpp
@@ -18,11 +18,17 @@
 namespace {
 
 constexpr int accept_backlog = 1024;
+// What has arrived on a connection and was not read takes memory of the VM, so the window
+// of each connection is bounded. The kernel doubles it.
+constexpr int receive_buffer_bytes = 32 * 1024;
 
 bool bind_and_listen(int descriptor, const base::endpoint& local)
 {
     const int on = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    // Connections take it over from the listening socket.
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+               sizeof receive_buffer_bytes);
     // An address that is not IPv4 would be taken for any address.
     if (!base::endpoint::parse(local.address + ":1")) {
         errno = EADDRNOTAVAIL;
--- a/curranthoist/http/internal/request_text.cpp
+++ b/curranthoist/http/internal/request_text.cpp
@@ -6,12 +6,12 @@
 
 namespace curranthoist::http::internal {
 
-std::string request_text(const target_call& call, const base::endpoint& remote,
+std::string request_head(const target_call& call, const base::endpoint& remote,
                          base::duration waited)
 {
     constexpr std::size_t usual_bytes = 512;
     std::string text;
-    text.reserve(usual_bytes + call.body.size());
+    text.reserve(usual_bytes);
     text.append(call.method).append(" ").append(call.path).append(" HTTP/1.1\r\n");
     if (!call.common_headers && !call.headers.contains(std::string_view("Host"))) {
         text.append("Host: ").append(remote.str()).append("\r\n");
@@ -30,17 +30,13 @@
             .append(std::to_string(left.count()))
             .append("\r\n");
     }
-    const bool has_body = !call.body.empty() || call.method == "POST" ||
-                          call.method == "PUT" || call.method == "PATCH";
+    const std::size_t size = call.content().size();
+    const bool has_body = size > 0 || call.method == "POST" || call.method == "PUT" ||
+                          call.method == "PATCH";
     if (has_body && call.method != "HEAD") {
-        text.append("Content-Length: ")
-            .append(std::to_string(call.body.size()))
-            .append("\r\n");
+        text.append("Content-Length: ").append(std::to_string(size)).append("\r\n");
     }
     text.append("\r\n");
-    if (call.method != "HEAD") {
-        text.append(call.body);
-    }
     return text;
 }
 
--- a/curranthoist/http/internal/request_text.hpp
+++ b/curranthoist/http/internal/request_text.hpp
@@ -10,9 +10,9 @@
 
 namespace curranthoist::http::internal {
 
-// The bytes of a call's request that is sent `waited` after the call was started. Without
-// a Host header it names `remote`.
-std::string request_text(const target_call& call, const base::endpoint& remote,
+// The request line and headers of a call that is sent `waited` after the call was
+// started. Without a Host header it names `remote`.
+std::string request_head(const target_call& call, const base::endpoint& remote,
                          base::duration waited);
 
 // How long the target keeps the connection, by the `timeout` of the response's Keep-Alive
--- a/curranthoist/http/internal/response_builder.cpp
+++ b/curranthoist/http/internal/response_builder.cpp
@@ -1,7 +1,11 @@
 #include "curranthoist/http/internal/response_builder.hpp"
 
+#include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/http/internal/response_body.hpp"
+
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace curranthoist::http::internal {
 
@@ -30,6 +34,21 @@
     delete static_cast<broken_body*>(source);
 }
 
+ssize_t read_body(void* source, std::uint64_t position, char* buffer, std::size_t size)
+{
+    response_body& body = **static_cast<std::shared_ptr<response_body>*>(source);
+    if (body.released || position >= body.bytes.size()) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    body.last_read = base::monotonic_clock().now();
+    return static_cast<ssize_t>(body.bytes.copy(buffer, size, position));
+}
+
+void free_body(void* source)
+{
+    delete static_cast<std::shared_ptr<response_body>*>(source);
+}
+
 } // namespace
 
 caller_response refusal(unsigned status, std::string_view error)
@@ -38,6 +57,15 @@
             .body = R"({"error":")" + std::string(error) + R"(","outcome":"not run"})"};
 }
 
+MHD_Response* make_response(std::shared_ptr<response_body> body)
+{
+    constexpr std::size_t block_size = std::size_t{16} * 1024;
+    const std::size_t size = body->bytes.size();
+    auto* source = new std::shared_ptr<response_body>(std::move(body));
+    return MHD_create_response_from_callback(size, block_size, &read_body, source,
+                                             &free_body);
+}
+
 MHD_Response* make_response(const caller_response& answer)
 {
     constexpr std::size_t block_size = 4096;
--- a/curranthoist/http/internal/response_reader.cpp
+++ b/curranthoist/http/internal/response_reader.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 response_reader::response_reader(const target_call& call, target_result& result,
-                                 std::shared_ptr<response_memory> memory)
+                                 std::shared_ptr<memory_account> memory)
     : call_(call)
     , result_(result)
     , memory_(std::move(memory))
@@ -147,9 +147,9 @@
 {
     const std::size_t total = result_.body.size() + size;
     too_large_ = total > call_.max_body_bytes;
-    if (!too_large_ && memory_ && total > response_memory::uncounted_bytes) {
+    if (!too_large_ && memory_ && total > uncounted_body_bytes) {
         if (!result_.held_memory) {
-            result_.held_memory = std::make_shared<response_memory::reservation>(memory_);
+            result_.held_memory = std::make_shared<memory_account::reservation>(memory_);
         }
         too_large_ = !result_.held_memory->grow(total);
     }
--- a/curranthoist/http/internal/response_reader.hpp
+++ b/curranthoist/http/internal/response_reader.hpp
@@ -23,7 +23,7 @@
     // Fills `result`; both must outlive the reader. Without `memory` only the limits of
     // the call hold.
     response_reader(const target_call& call, target_result& result,
-                    std::shared_ptr<response_memory> memory = nullptr);
+                    std::shared_ptr<memory_account> memory = nullptr);
     response_reader(const response_reader&) = delete;
     response_reader& operator=(const response_reader&) = delete;
 
@@ -63,7 +63,7 @@
 
     const target_call& call_;
     target_result& result_;
-    std::shared_ptr<response_memory> memory_;
+    std::shared_ptr<memory_account> memory_;
     http_parser parser_{};
     // Bytes read so far, and those of them in header lines and trailers.
     std::size_t received_bytes_ = 0;
--- a/curranthoist/http/internal/target_connection.hpp
+++ b/curranthoist/http/internal/target_connection.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace curranthoist::http::internal {
 
@@ -25,6 +26,11 @@
     target_connection(const target_connection&) = delete;
     target_connection& operator=(const target_connection&) = delete;
 
+    [[nodiscard]] bool has_sent_all() const
+    {
+        return sent == output.size() + output_rest.size();
+    }
+
     int descriptor = -1;
     ev::io watcher;
     // Runs until it is connected.
@@ -40,8 +46,10 @@
     running_call* call = nullptr;
     // The same call if nobody wants its result any more; otherwise null.
     std::unique_ptr<running_call> abandoned;
-    // The request and how much of it has left.
+    // The head of the request, with its body if that is short; the rest, which belongs to
+    // the call; and how much of both has left.
     std::string output;
+    std::string_view output_rest;
     std::size_t sent = 0;
     std::optional<response_reader> reader;
     // While idle: the target closes it about then.
--- a/curranthoist/http/metrics_server.cpp
+++ b/curranthoist/http/metrics_server.cpp
@@ -21,7 +21,7 @@
 
 metrics_server::metrics_server(ev::loop_ref loop, const base::endpoint& listen,
                                source metrics)
-    : server_(loop, caller_server_options{.listen = listen},
+    : server_(loop, caller_server_options::for_probes(listen),
               [metrics = std::move(metrics)](const caller_request& request,
                                              const responder& answer) {
                   answer.respond(answer_to(request.path, metrics));
--- a/curranthoist/http/target_call.hpp
+++ b/curranthoist/http/target_call.hpp
@@ -23,6 +23,8 @@
     std::shared_ptr<const std::string> common_headers = {};
     // Sent with its length; an empty one only with POST, PUT and PATCH.
     std::string body = {};
+    // The body instead, if several calls share it.
+    std::shared_ptr<const std::string> shared_body = {};
     // From start() to the end of the response, including the wait for a connection.
     base::duration time_limit{1000};
     // The header that tells the target how many milliseconds it has; empty if it is not
@@ -52,6 +54,12 @@
     bool accept_unframed = false;
     // A longer response body ends the call as too large.
     std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
+
+    // The body that is sent.
+    [[nodiscard]] std::string_view content() const
+    {
+        return shared_body ? std::string_view(*shared_body) : std::string_view(body);
+    }
 };
 
 } // namespace curranthoist::http
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <string_view>
 #include <vector>
 
 #include <sys/socket.h>
@@ -28,6 +29,17 @@
 // A connection is read so often in one turn of the loop; a target that sends faster than
 // this process reads must not keep it from its other connections and timers.
 constexpr int max_reads_per_turn = 4;
+// A longer body is sent from where it is, by a system call of its own, so that calls that
+// share it do not hold a copy each.
+constexpr std::size_t max_copied_body_bytes = std::size_t{4} * 1024;
+
+std::string_view next_output(const target_connection& connection)
+{
+    const std::size_t head_bytes = connection.output.size();
+    return connection.sent < head_bytes
+               ? std::string_view(connection.output).substr(connection.sent)
+               : connection.output_rest.substr(connection.sent - head_bytes);
+}
 
 } // namespace
 
@@ -152,6 +164,11 @@
         }
         target_connection* connection =
             call.call.fresh_connection ? nullptr : take_idle(call.call.checks_connection);
+        if (connection == nullptr && connections_.size() < max_connections_ &&
+            !has_socket()) {
+            waiting_.push_front(call.number);
+            return;
+        }
         if (connection == nullptr) {
             connection = open_connection(call.number);
         }
@@ -211,21 +228,28 @@
     const bool has_idle =
         std::any_of(connections_.begin(), connections_.end(),
                     [](const auto& one) { return one.second->call == nullptr; });
-    if (!has_idle && connections_.size() < max_connections_) {
+    if (!has_idle && connections_.size() < max_connections_ &&
+        (!sockets_ || sockets_->has_room())) {
         open_connection(0);
     }
 }
 
+bool target_client::close_idle()
+{
+    const auto idle =
+        std::find_if(connections_.begin(), connections_.end(),
+                     [](const auto& one) { return one.second->call == nullptr; });
+    if (idle == connections_.end()) {
+        return false;
+    }
+    close(*idle->second);
+    return true;
+}
+
 target_connection* target_client::open_connection(call_number first)
 {
-    if (connections_.size() >= max_connections_) {
-        const auto idle =
-            std::find_if(connections_.begin(), connections_.end(),
-                         [](const auto& one) { return one.second->call == nullptr; });
-        if (idle == connections_.end()) {
-            return nullptr;
-        }
-        close(*idle->second);
+    if (connections_.size() >= max_connections_ && !close_idle()) {
+        return nullptr;
     }
     const int descriptor = internal::begin_connect(remote_);
     if (descriptor < 0) {
@@ -243,6 +267,9 @@
     target_connection& result = *opened;
     connections_[descriptor] = std::move(opened);
     peak_sockets_ = std::max(peak_sockets_, connections_.size());
+    if (sockets_) {
+        sockets_->on_opened();
+    }
     if (on_socket_) {
         on_socket_(first, true);
     }
@@ -264,6 +291,9 @@
     const int descriptor = connection.descriptor;
     connections_.erase(descriptor);
     ::close(descriptor);
+    if (sockets_) {
+        sockets_->on_closed();
+    }
     if (on_socket_) {
         on_socket_(0, false);
     }
@@ -271,14 +301,7 @@
 
 void target_client::close_idle_above_limit()
 {
-    while (connections_.size() > max_connections_) {
-        const auto idle =
-            std::find_if(connections_.begin(), connections_.end(),
-                         [](const auto& one) { return one.second->call == nullptr; });
-        if (idle == connections_.end()) {
-            return;
-        }
-        close(*idle->second);
+    while (connections_.size() > max_connections_ && close_idle()) {
     }
 }
 
@@ -362,23 +385,34 @@
     }
 }
 
+void target_client::set_output(target_connection& connection) const
+{
+    const running_call& call = *connection.call;
+    connection.output =
+        internal::request_head(call.call, remote_, clock_.now() - call.started);
+    connection.output_rest = call.call.method == "HEAD" ? "" : call.call.content();
+    if (connection.output_rest.size() <= max_copied_body_bytes) {
+        connection.output.append(connection.output_rest);
+        connection.output_rest = {};
+    }
+    connection.sent = 0;
+}
+
 void target_client::write(target_connection& connection)
 {
     running_call& call = *connection.call;
     if (!connection.reader) {
-        connection.output =
-            internal::request_text(call.call, remote_, clock_.now() - call.started);
-        connection.sent = 0;
+        set_output(connection);
         connection.reader.emplace(call.call, call.result, memory_);
         if (call.call.expects_names && connection.names_requests) {
             connection.reader->require_id();
         }
         call.result.connection_was_new = connection.calls == 0;
     }
-    while (connection.sent < connection.output.size()) {
+    while (!connection.has_sent_all()) {
+        const std::string_view piece = next_output(connection);
         const ssize_t size =
-            ::send(connection.descriptor, connection.output.data() + connection.sent,
-                   connection.output.size() - connection.sent, MSG_NOSIGNAL);
+            ::send(connection.descriptor, piece.data(), piece.size(), MSG_NOSIGNAL);
         if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
             break;
         }
@@ -394,8 +428,7 @@
         }
         connection.sent += static_cast<std::size_t>(size);
     }
-    const bool all_sent = connection.sent == connection.output.size();
-    set_events(connection, all_sent ? ev::READ : ev::READ | ev::WRITE);
+    set_events(connection, connection.has_sent_all() ? ev::READ : ev::READ | ev::WRITE);
 }
 
 void target_client::read(target_connection& connection)
@@ -421,7 +454,7 @@
             break;
         }
     }
-    if (connection.sent < connection.output.size()) {
+    if (!connection.has_sent_all()) {
         write(connection);
     }
 }
@@ -434,7 +467,7 @@
 void target_client::finish(target_connection& connection, call_outcome outcome)
 {
     running_call& call = *connection.call;
-    const bool all_sent = connection.sent == connection.output.size();
+    const bool all_sent = connection.has_sent_all();
     // A late copy of a rejection that names no request could not be told from the answer
     // to the next one.
     const bool is_named = call.call.headers.contains(call.call.id_header);
@@ -450,6 +483,9 @@
         connection.usable_until =
             kept ? clock_.now() + *kept - close_margin : base::instant::max();
         connection.reader.reset();
+        connection.output = {};
+        connection.output_rest = {};
+        connection.sent = 0;
         connection.call = nullptr;
         call.connection = nullptr;
     }
--- a/curranthoist/http/target_client.hpp
+++ b/curranthoist/http/target_client.hpp
@@ -2,7 +2,8 @@
 
 #include "curranthoist/base/endpoint.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
-#include "curranthoist/http/response_memory.hpp"
+#include "curranthoist/http/memory_account.hpp"
+#include "curranthoist/http/socket_budget.hpp"
 #include "curranthoist/http/target_call.hpp"
 #include "curranthoist/http/target_result.hpp"
 
@@ -79,11 +80,22 @@
     void set_socket_handler(socket_handler handler) { on_socket_ = std::move(handler); }
 
     // Counts the bodies of responses within a limit that other clients share.
-    void limit_memory(std::shared_ptr<response_memory> memory)
+    void limit_memory(std::shared_ptr<memory_account> memory)
     {
         memory_ = std::move(memory);
     }
 
+    // Counts the sockets within a limit that other clients share. To be called before the
+    // first one is opened.
+    void limit_sockets(std::shared_ptr<socket_budget> sockets)
+    {
+        sockets_ = std::move(sockets);
+    }
+    // Closes a connection that serves no call; returns false if there is none.
+    bool close_idle();
+    // Lets calls go on that waited for a socket of the shared limit.
+    void retry_waiting() { start_waiting_calls(); }
+
     // Changes the limit for connections that are opened from now on. Idle connections
     // above the limit are closed as calls end.
     void set_max_connections(std::size_t max_connections);
@@ -109,6 +121,8 @@
     // An idle connection that can take a request, or null; closes those that can't. With
     // `check` it asks the kernel for bytes or an end that the loop has not seen yet.
     internal::target_connection* take_idle(bool check);
+    // Whether the shared limit allows another socket.
+    [[nodiscard]] bool has_socket() { return !sockets_ || sockets_->make_room(); }
     // A new connection within the limit, or null with the reason in the call's outcome.
     internal::target_connection* open_connection(call_number first);
     void assign(internal::running_call& call, internal::target_connection& to);
@@ -121,6 +135,8 @@
     // No connection came about: ends the call that waits for it, if there is one.
     void give_up(internal::target_connection& connection);
     void on_connect_limit(ev::timer& watcher, int events);
+    // Makes the request of the connection's call ready to be sent.
+    void set_output(internal::target_connection& connection) const;
     void write(internal::target_connection& connection);
     void read(internal::target_connection& connection);
     void end_connection(internal::target_connection& connection, bool in_order);
@@ -141,7 +157,9 @@
     base::monotonic_clock clock_;
     std::size_t max_connections_;
     socket_handler on_socket_;
-    std::shared_ptr<response_memory> memory_;
+    std::shared_ptr<memory_account> memory_;
+    // Null without a shared limit.
+    std::shared_ptr<socket_budget> sockets_;
     ev::timer delivery_timer_;
     std::uint64_t last_connection_ = 0;
     call_number last_call_ = 0;
--- a/curranthoist/http/target_result.hpp
+++ b/curranthoist/http/target_result.hpp
@@ -3,7 +3,7 @@
 #include "curranthoist/base/duration.hpp"
 #include "curranthoist/http/call_outcome.hpp"
 #include "curranthoist/http/header_map.hpp"
-#include "curranthoist/http/response_memory.hpp"
+#include "curranthoist/http/memory_account.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -22,7 +22,7 @@
     header_map headers = {};
     std::string body = {};
     // The body's part of the process's response memory; null if it takes none.
-    std::shared_ptr<response_memory::reservation> held_memory = {};
+    std::shared_ptr<memory_account::reservation> held_memory = {};
     // False only if it is certain that no byte of the request left this process.
     bool request_may_have_left = false;
     // Number of the connection it was sent on, from 1, unique in the client's life; 0 if
--- a/curranthoist/platform/caller_exchange.cpp
+++ b/curranthoist/platform/caller_exchange.cpp
@@ -159,6 +159,19 @@
     return success ? response_kind::success : response_kind::failure;
 }
 
+// The body with its part of the memory for requests, which is free once nobody shares it.
+std::shared_ptr<const std::string> shared_body_of(http::caller_request& request)
+{
+    struct held_body
+    {
+        std::string bytes;
+        std::shared_ptr<http::memory_account::reservation> memory;
+    };
+    const auto held = std::make_shared<held_body>(
+        held_body{std::move(request.body), std::move(request.held_memory)});
+    return {held, &held->bytes};
+}
+
 } // namespace
 
 inbound_request decode_caller_request(http::caller_request request)
@@ -173,7 +186,7 @@
     result.target = std::move(request.target);
     result.header_lines = std::make_shared<const std::string>(
         lines_of(end_to_end(std::move(request.headers))));
-    result.body = std::move(request.body);
+    result.body = shared_body_of(request);
     result.connection_was_new = request.connection_was_new;
     return result;
 }
@@ -192,7 +205,7 @@
     if (!request.attempt.empty()) {
         call.headers.emplace(attempt_header, request.attempt.str());
     }
-    call.body = request.body;
+    call.shared_body = request.body;
     // The request's own limit ends the work. This one frees the connection of a target
     // that has gone silent.
     call.time_limit = time_left + connection_grace;
@@ -214,12 +227,13 @@
     return response;
 }
 
-http::caller_response forward_response(const target_response& from)
+http::caller_response forward_response(target_response from)
 {
     http::caller_response answer;
     answer.status = from.content.status;
     answer.headers = end_to_end(from.content.headers);
-    answer.body = from.content.body;
+    answer.body = std::move(from.content.body);
+    answer.held_memory = std::move(from.content.held_memory);
     return answer;
 }
 
--- a/curranthoist/platform/caller_exchange.hpp
+++ b/curranthoist/platform/caller_exchange.hpp
@@ -32,7 +32,8 @@
     // The lines of the headers that go on to every target unchanged: without those that
     // concern one connection only, and without the attempt's name and the deadline.
     std::shared_ptr<const std::string> header_lines;
-    std::string body;
+    // Never null. Whoever holds it holds its part of the memory for requests.
+    std::shared_ptr<const std::string> body = std::make_shared<const std::string>();
     // The caller made a connection for it, and began to wait before that.
     bool connection_was_new = false;
 };
@@ -59,7 +60,7 @@
 target_response decode_target_result(http::target_result result);
 
 // The caller's response from one target's, unchanged.
-http::caller_response forward_response(const target_response& from);
+http::caller_response forward_response(target_response from);
 // The caller's response that was gathered from the parts with these signatures; `missing`
 // shards are left out.
 http::caller_response gathered_response(std::span<const std::string_view> signatures,
--- a/curranthoist/platform/caller_exchange_test.cpp
+++ b/curranthoist/platform/caller_exchange_test.cpp
@@ -47,7 +47,7 @@
         encode_target_call(request, base::target_id("i-1"), base::duration(700));
     EXPECT_EQ(call.method, "POST");
     EXPECT_EQ(call.path, "/a%20b/c?x=%2f");
-    EXPECT_EQ(call.body, "body");
+    EXPECT_EQ(call.content(), "body");
     ASSERT_TRUE(call.common_headers);
     EXPECT_EQ(*call.common_headers, "Host: h\r\nX-Other: kept\r\n");
     EXPECT_EQ(call.headers,
--- a/curranthoist/platform/node_settings.cpp
+++ b/curranthoist/platform/node_settings.cpp
@@ -227,6 +227,10 @@
     result.founds_deployment = values.flag("first_start");
     result.data_folder = values.text("data_directory", false);
     result.memory_bytes = values.megabytes("limits.memory_mb", result.memory_bytes);
+    result.max_descriptors = static_cast<std::size_t>(
+        std::min(values.number("limits.max_file_descriptors",
+                               static_cast<double>(result.max_descriptors)),
+                 max_memory_bytes));
     result.link_bytes_per_s =
         values.number("limits.link_mbps", result.link_bytes_per_s / bytes_per_megabit) *
         bytes_per_megabit;
--- a/curranthoist/platform/node_settings.hpp
+++ b/curranthoist/platform/node_settings.hpp
@@ -43,6 +43,8 @@
     base::duration list_lag{1000};
     // What a process may use before the platform ends it.
     std::size_t memory_bytes = std::size_t{256} * 1024 * 1024;
+    // The descriptors that a process may have open.
+    std::size_t max_descriptors = 4096;
     // What the VM's link carries; all its processes share it.
     double link_bytes_per_s = 125'000'000.0;
     // Calls a second that the list accepts from all VMs together.
--- /dev/null
+++ b/curranthoist/testing/greedy_callers.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "curranthoist/base/duration.hpp"
+#include "curranthoist/base/endpoint.hpp"
+
+#include <atomic>
+#include <cstddef>
+#include <string>
+#include <thread>
+
+namespace curranthoist::testing {
+
+// What each of the greedy callers sends.
+struct greedy_plan
+{
+    base::endpoint server;
+    std::size_t connections = 0;
+    // Sent on each connection, which then stays open.
+    std::string bytes;
+    // Sends at most so many bytes at once, with a pause between.
+    std::size_t piece_bytes = std::size_t{256} * 1024;
+    base::duration piece_pause{};
+    // Connections that the server has closed are opened again, until so many were opened.
+    std::size_t max_opened = 0;
+};
+
+// Clients that send what the plan says on many connections, read nothing and stay. They
+// run on a thread of their own until they go away:
+//
+//     greedy_callers crowd({.server = front, .connections = 300, .bytes = request});
+//     crowd.wait_until_settled();
+//     ...                              // what ordinary callers get beside them
+class greedy_callers
+{
+public:
+    explicit greedy_callers(greedy_plan plan);
+    // Closes every connection.
+    ~greedy_callers();
+    greedy_callers(const greedy_callers&) = delete;
+    greedy_callers& operator=(const greedy_callers&) = delete;
+
+    // Returns once the server has taken no byte for a second, after 20 s at the latest.
+    void wait_until_settled() const;
+    [[nodiscard]] std::size_t opened() const { return opened_; }
+    [[nodiscard]] std::size_t sent_bytes() const { return sent_bytes_; }
+
+private:
+    struct connection;
+
+    void run();
+    void open(connection& one);
+    // Sends the next piece if it is due.
+    void send_piece(connection& one);
+
+    greedy_plan plan_;
+    std::atomic<bool> stopping_ = false;
+    std::atomic<std::size_t> opened_ = 0;
+    std::atomic<std::size_t> sent_bytes_ = 0;
+    std::thread thread_;
+};
+
+} // namespace curranthoist::testing
--- /dev/null
+++ b/curranthoist/testing/platform/greedy_callers_test.cpp
@@ -0,0 +1,242 @@
+// Callers that send what is legal but take as much memory as they can. Small VMs, so that
+// few callers are enough; each test checks what holds at any speed of the machine: the
+// process lives, its memory and descriptors stay within bounds, and an ordinary request
+// is answered beside the greedy callers and after them.
+#include "curranthoist/testing/greedy_callers.hpp"
+#include "curranthoist/testing/platform/platform_fixture.hpp"
+#include "curranthoist/testing/process_usage.hpp"
+#include "curranthoist/testing/wait_until.hpp"
+
+#include <string>
+
+namespace curranthoist::testing {
+namespace {
+
+constexpr std::size_t memory_mb = 64;
+constexpr std::size_t max_memory_bytes = memory_mb * 1024 * 1024;
+constexpr std::size_t max_descriptors = 600;
+constexpr std::size_t body_bytes = 262'144;
+constexpr std::size_t crowd_size = 300;
+// Callers come back after they were refused or closed.
+constexpr std::size_t max_opened = 3 * crowd_size;
+
+std::string head(const std::string& method, const std::string& path,
+                 const std::string& attempt, std::size_t length)
+{
+    return method + " " + path +
+           " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + attempt +
+           "\r\nDeadline-Milliseconds: 3000\r\nContent-Length: " +
+           std::to_string(length) + "\r\n\r\n";
+}
+
+std::string requests_ahead(const std::string& path, std::size_t count)
+{
+    std::string result;
+    for (std::size_t i = 0; i < count; ++i) {
+        result += head("GET", path, "ahead-" + std::to_string(i), 0);
+    }
+    return result;
+}
+
+class greedy_callers_test : public platform_fixture
+{
+protected:
+    greedy_callers_test()
+    {
+        more_settings_ =
+            "limits.memory_mb=" + std::to_string(memory_mb) +
+            "\nlimits.max_file_descriptors=" + std::to_string(max_descriptors) + "\n";
+        add_vms(1);
+    }
+
+    void serve(const nlohmann::json& wanted)
+    {
+        start_all();
+        ASSERT_TRUE(replace(wanted));
+        ASSERT_TRUE(ready(0));
+        ASSERT_TRUE(answers_an_ordinary_caller());
+    }
+
+    bool answers_an_ordinary_caller()
+    {
+        return wait_until([&] {
+            return ask(0, "/l/1", "ordinary-" + std::to_string(++asked_)).status == 200U;
+        });
+    }
+
+    static void expect_within_bounds(child_process& process)
+    {
+        ASSERT_TRUE(process.is_running());
+        EXPECT_LT(open_descriptors(process.id()), max_descriptors);
+#if !defined(CURRANTHOIST_SANITIZED)
+        // The sanitizer keeps what was freed, and a shadow of all memory.
+        EXPECT_LT(peak_memory_bytes(process.id()), max_memory_bytes);
+#endif
+    }
+
+    // Lets the callers do their worst, and checks what must hold meanwhile and then.
+    void press(const greedy_plan& plan, child_process& process)
+    {
+        {
+            const greedy_callers crowd(plan);
+            crowd.wait_until_settled();
+            EXPECT_TRUE(answers_an_ordinary_caller());
+            expect_within_bounds(process);
+        }
+        EXPECT_TRUE(answers_an_ordinary_caller());
+        expect_within_bounds(process);
+    }
+
+    base::endpoint front() const
+    {
+        return {vms_[0], callers_port};
+    }
+
+private:
+    unsigned asked_ = 0;
+};
+
+// Guards against bodies of legal size that stop just short of their end, each of which
+// holds its memory for as long as its caller likes.
+TEST_F(greedy_callers_test, bodies_that_stop_short_of_their_end)
+{
+    serve(configuration(7));
+    press({.server = front(),
+           .connections = crowd_size,
+           .bytes = head("POST", "/o/1", "short", body_bytes) +
+                    std::string(body_bytes - 10, 'b'),
+           .max_opened = max_opened},
+          *fronts_[0]);
+}
+
+// The same for bodies that go on coming, piece by piece, so that no connection is silent.
+TEST_F(greedy_callers_test, bodies_in_pieces_that_stop_short_of_their_end)
+{
+    serve(configuration(7));
+    press({.server = front(),
+           .connections = crowd_size,
+           .bytes = head("POST", "/o/1", "pieces", body_bytes) +
+                    std::string(body_bytes - 10, 'b'),
+           .piece_bytes = std::size_t{16} * 1024,
+           .piece_pause = base::duration(50),
+           .max_opened = max_opened},
+          *fronts_[0]);
+}
+
+// Guards against whole requests that wait for targets with several copies of their
+// bodies.
+TEST_F(greedy_callers_test, whole_bodies_that_wait_for_a_target)
+{
+    constexpr base::duration work{500};
+    constexpr std::uint16_t port = 9400;
+    platform_->add({.id = "slow-a",
+                    .service = "slow",
+                    .address = {new_address(), port},
+                    .work = work});
+    nlohmann::json wanted = configuration(7);
+    nlohmann::json service = wanted["services"][0];
+    service["name"] = "slow";
+    wanted["services"].push_back(service);
+    wanted["routes"][1]["service"] = "slow";
+    serve(wanted);
+    press({.server = front(),
+           .connections = crowd_size,
+           .bytes =
+               head("POST", "/o/1", "whole", body_bytes) + std::string(body_bytes, 'b'),
+           .max_opened = max_opened},
+          *fronts_[0]);
+}
+
+// Guards against long answers that wait for callers who do not read them.
+TEST_F(greedy_callers_test, long_answers_that_nobody_reads)
+{
+    constexpr std::size_t answer_bytes = std::size_t{1024} * 1024;
+    constexpr std::uint16_t port = 9400;
+    platform_->add({.id = "long-a",
+                    .service = "long",
+                    .address = {new_address(), port},
+                    .answer_bytes = answer_bytes});
+    nlohmann::json wanted = configuration(7);
+    nlohmann::json service = wanted["services"][0];
+    service["name"] = "long";
+    wanted["services"].push_back(service);
+    wanted["routes"][1]["service"] = "long";
+    serve(wanted);
+    press({.server = front(),
+           .connections = crowd_size,
+           .bytes = requests_ahead("/o/1", 10),
+           .max_opened = max_opened},
+          *fronts_[0]);
+}
+
+// Guards against requests that are sent ahead on a few connections, their answers unread.
+TEST_F(greedy_callers_test, requests_sent_ahead_on_a_few_connections)
+{
+    serve(configuration(7));
+    press({.server = front(),
+           .connections = 40,
+           .bytes = requests_ahead("/l/1", 2000),
+           .max_opened = max_opened},
+          *fronts_[0]);
+}
+
+// Guards against queries to many shards, each of which holds many sends at once, while
+// the shards do not answer.
+TEST_F(greedy_callers_test, queries_to_many_shards_that_do_not_answer)
+{
+    constexpr std::size_t shard_count = 80;
+    const nlohmann::json wanted = wide_configuration(7, shard_count);
+    serve(wanted);
+    for (std::size_t i = 0; i < shard_count; ++i) {
+        for (const char* const copy : {"-a", "-b"}) {
+            platform_->set_behaviour("w" + std::to_string(i) + copy,
+                                     target_behaviour::hangs);
+        }
+    }
+    press({.server = front(),
+           .connections = crowd_size,
+           .bytes = requests_ahead("/q/1", 20),
+           .max_opened = max_opened},
+          *fronts_[0]);
+}
+
+// Guards against heads that stop short of their end.
+TEST_F(greedy_callers_test, heads_that_stop_short_of_their_end)
+{
+    serve(configuration(7));
+    press({.server = front(),
+           .connections = crowd_size,
+           .bytes = "GET /l/1 HTTP/1.1\r\nHost: h.example\r\nX: " +
+                    std::string(std::size_t{15} * 1024, 'x'),
+           .max_opened = max_opened},
+          *fronts_[0]);
+}
+
+// The port of the load balancer takes no bodies of any use.
+TEST_F(greedy_callers_test, bodies_at_the_readiness_port)
+{
+    serve(configuration(7));
+    press({.server = {vms_[0], readiness_port},
+           .connections = crowd_size,
+           .bytes = head("POST", "/v1/readiness", "ready", body_bytes) +
+                    std::string(body_bytes - 10, 'b'),
+           .max_opened = max_opened},
+          *fronts_[0]);
+    EXPECT_TRUE(ready(0));
+}
+
+// Guards the core process against bodies at the port of operators.
+TEST_F(greedy_callers_test, bodies_at_the_port_of_operators)
+{
+    serve(configuration(7));
+    press({.server = {vms_[0], operators_port},
+           .connections = crowd_size,
+           .bytes = head("POST", "/v1/configuration/replace", "operator", body_bytes) +
+                    std::string(body_bytes - 10, 'b'),
+           .max_opened = max_opened},
+          *cores_[0]);
+    EXPECT_TRUE(replace(configuration(8)));
+}
+
+} // namespace
+} // namespace curranthoist::testing
--- a/curranthoist/testing/platform/platform_fixture.cpp
+++ b/curranthoist/testing/platform/platform_fixture.cpp
@@ -90,7 +90,8 @@
          << "\nbounds.grace_period_s=6\nbounds.config_apply_ms=3000"
          << "\nbounds.retry_budget_ratio=0.2\nbounds.retry_budget_slack=58"
          << "\ncloud_api.address=" << list_
-         << "\ncloud_api.rate_per_s=46.0\ncloud_api.max_lag_ms=800\n";
+         << "\ncloud_api.rate_per_s=46.0\ncloud_api.max_lag_ms=800\n"
+         << more_settings_;
     file.close();
     std::filesystem::rename(new_path, path);
     return path;
--- a/curranthoist/testing/platform/platform_fixture.hpp
+++ b/curranthoist/testing/platform/platform_fixture.hpp
@@ -81,6 +81,8 @@
     std::vector<std::unique_ptr<tcp_forwarder>> operator_links_;
     // The first so many VMs are the seeds in all settings.
     std::size_t seeds_ = 3;
+    // Further lines of every settings file.
+    std::string more_settings_;
     // Command-line options of the core processes.
     std::vector<std::string> core_options_;
     std::string list_;
--- a/curranthoist/testing/platform/stand_in_platform.cpp
+++ b/curranthoist/testing/platform/stand_in_platform.cpp
@@ -235,11 +235,14 @@
         at.kept.push_back(answer);
     }
     else {
+        const std::size_t size = at.listed.answer_bytes;
         http::caller_response response{
             .status = fails ? failure_status : http::status::ok,
             .headers = {{"Server-Stamp", at.listed.id + "." + attempt},
                         {"Attempt-Id", attempt}},
-            .body = fails ? "failed" : records_of(at.listed.service)};
+            .body = fails       ? "failed"
+                    : size != 0 ? std::string(size, 'r')
+                                : records_of(at.listed.service)};
         if (at.behaviour == target_behaviour::leaves) {
             response.headers.emplace("Server-Leaving", "1");
         }
--- a/curranthoist/testing/platform/stand_in_platform.hpp
+++ b/curranthoist/testing/platform/stand_in_platform.hpp
@@ -56,6 +56,8 @@
         std::optional<base::endpoint> listed_address = {};
         // From the arrival of a request to its answer.
         base::duration work = {};
+        // Its answers have bodies of this size; 0 for the records of its service.
+        std::size_t answer_bytes = 0;
     };
     struct run
     {
