Gather a query's parts in its own availability zone first

What callers and the owner saw: each shard was gathered in one zone for all VMs, so that two thirds of the parts of a query crossed zones, and each second send did so by itself, on a connection of its own.

Change: a shard is gathered in the VM's own zone if it has a usable target there that is no suspect; second sends to another zone go through a gatherer of that zone in one message.

--- a/curranthoist/forwarding/gather_plan.cpp
+++ b/curranthoist/forwarding/gather_plan.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+// Fewer parts than this are not worth the detour.
+constexpr std::size_t min_second_sends = 2;
+
 std::size_t hash_of(std::string_view a, std::string_view b)
 {
     std::string text(a);
@@ -51,9 +54,10 @@
     std::map<base::zone_id, std::vector<std::size_t>> by_zone;
     for (std::size_t i = 0; i < shards.size(); ++i) {
         const base::zone_id* best = nullptr;
-        std::size_t best_rank = 0;
-        for (const base::zone_id* zone : directory.usable_zones(shards[i], now)) {
-            const std::size_t rank = hash_of(shards[i].str(), zone->str());
+        std::pair<bool, std::size_t> best_rank;
+        for (const base::zone_id* zone : directory.preferred_zones(shards[i], now)) {
+            const std::pair rank(*zone != directory.own_zone(),
+                                 hash_of(shards[i].str(), zone->str()));
             if (gatherers.contains(*zone) && (best == nullptr || rank < best_rank)) {
                 best = zone;
                 best_rank = rank;
@@ -81,4 +85,30 @@
     return groups;
 }
 
+std::vector<second_send_group>
+plan_second_sends(std::span<const send_action> sends,
+                  std::span<const deployment::gatherer> available,
+                  const target_directory& directory, std::string_view own_name)
+{
+    std::map<base::zone_id, std::vector<std::size_t>> by_zone;
+    for (std::size_t i = 0; i < sends.size(); ++i) {
+        const deployment::listed_target* target = directory.find(sends[i].target);
+        if (target != nullptr && target->zone != directory.own_zone()) {
+            by_zone[target->zone].push_back(i);
+        }
+    }
+    std::vector<second_send_group> groups;
+    if (by_zone.empty() || available.empty()) {
+        return groups;
+    }
+    const auto gatherers = order_gatherers(available, own_name);
+    for (auto& [zone, indices] : by_zone) {
+        const auto names = gatherers.find(zone);
+        if (indices.size() >= min_second_sends && names != gatherers.end()) {
+            groups.push_back({names->second.front(), std::move(indices)});
+        }
+    }
+    return groups;
+}
+
 } // namespace curranthoist::forwarding
--- a/curranthoist/forwarding/target_directory.cpp
+++ b/curranthoist/forwarding/target_directory.cpp
@@ -286,6 +286,22 @@
     return zones;
 }
 
+std::vector<const base::zone_id*>
+target_directory::preferred_zones(const base::service_id& service,
+                                  base::instant now) const
+{
+    std::vector<const base::zone_id*> zones;
+    const auto listed = services_.find(service);
+    if (listed != services_.end()) {
+        for (const target_state* const target : listed->second.targets) {
+            if (is_usable(*target, now) && !suspects_.contains(target->listed.id)) {
+                zones.push_back(&target->listed.zone);
+            }
+        }
+    }
+    return zones.empty() ? usable_zones(service, now) : zones;
+}
+
 target_directory::shortage target_directory::explain(const base::service_id& service,
                                                      base::instant now) const
 {
--- a/curranthoist/forwarding/target_directory.hpp
+++ b/curranthoist/forwarding/target_directory.hpp
@@ -79,6 +79,10 @@
     // The directory owns them.
     [[nodiscard]] std::vector<const base::zone_id*>
     usable_zones(const base::service_id& service, base::instant now) const;
+    // The same without the targets that do badly for the VMs together, unless all do.
+    [[nodiscard]] std::vector<const base::zone_id*>
+    preferred_zones(const base::service_id& service, base::instant now) const;
+    [[nodiscard]] const base::zone_id& own_zone() const { return options_.own_zone; }
     [[nodiscard]] shortage explain(const base::service_id& service,
                                    base::instant now) const;
     [[nodiscard]] const deployment::listed_target* find(const base::target_id& id) const;
--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -1,11 +1,14 @@
 #include "curranthoist/frontd/caller_task.hpp"
 
+#include "curranthoist/forwarding/gather_plan.hpp"
 #include "curranthoist/frontd/gather_links.hpp"
 #include "curranthoist/frontd/task_context.hpp"
 #include "curranthoist/http/status.hpp"
 
 #include <algorithm>
 #include <iterator>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace curranthoist::frontd {
@@ -114,8 +117,50 @@
     perform(run_->on_time(std::max(hard_limit_, clock_.now())));
 }
 
+void caller_task::gather_second_sends(
+    std::vector<forwarding::request_action>& actions) const
+{
+    if (!route_.gathers() || context_.gather == nullptr ||
+        request_.body->size() > max_gathered_body_bytes) {
+        return;
+    }
+    std::vector<forwarding::send_action> sends;
+    for (const forwarding::request_action& action : actions) {
+        const auto* sent = std::get_if<forwarding::send_action>(&action);
+        if (sent != nullptr && sent->reason != std::string_view(first_send)) {
+            sends.push_back(*sent);
+        }
+    }
+    if (sends.size() < 2) {
+        return;
+    }
+    std::set<forwarding::call_id> gathered;
+    std::vector<forwarding::request_action> groups;
+    for (const forwarding::second_send_group& group :
+         forwarding::plan_second_sends(sends, context_.gather->available(),
+                                       context_.directory, context_.own_name)) {
+        forwarding::gather_action action;
+        action.gatherer = group.gatherer;
+        for (const std::size_t index : group.sends) {
+            action.calls.push_back(sends[index].call);
+            action.shards.push_back(sends[index].shard);
+            gathered.insert(sends[index].call);
+        }
+        groups.emplace_back(std::move(action));
+    }
+    std::erase_if(actions, [&gathered](const forwarding::request_action& action) {
+        const auto* sent = std::get_if<forwarding::send_action>(&action);
+        return sent != nullptr && gathered.contains(sent->call);
+    });
+    // A send comes before the answer to the caller, which ends it again.
+    actions.insert(actions.begin(), std::make_move_iterator(groups.begin()),
+                   std::make_move_iterator(groups.end()));
+}
+
 void caller_task::perform(std::vector<forwarding::request_action> actions)
 {
+    log_extra_sends(actions);
+    gather_second_sends(actions);
     // By index, because actions that follow are added at the end.
     for (std::size_t i = 0; i < actions.size(); ++i) {
         const forwarding::request_action& action = actions[i];
@@ -124,6 +169,7 @@
         }
         else if (const auto* group = std::get_if<forwarding::gather_action>(&action)) {
             const auto following = start_group(*group);
+            log_extra_sends(following);
             actions.insert(actions.end(), following.begin(), following.end());
         }
         else if (const auto* ended = std::get_if<forwarding::cancel_action>(&action)) {
@@ -134,7 +180,6 @@
         }
     }
     if (!actions.empty() || !timer_.is_active()) {
-        log_extra_sends(actions);
         schedule();
     }
 }
@@ -439,7 +484,7 @@
 {
     const base::instant now = clock_.now();
     forwarding::return_schedule::rejection caller;
-    caller.priority = route_.priority;
+    caller.priority = request_.priority.value_or(route_.priority);
     caller.time_left = hard_limit_ - now;
     // A query goes to many services; the pause of one of them says little about it.
     if (!route_.gathers()) {
--- a/curranthoist/frontd/caller_task.hpp
+++ b/curranthoist/frontd/caller_task.hpp
@@ -51,6 +51,8 @@
     [[nodiscard]] forwarding::request_timing times(base::instant now) const;
     // Carries out the actions in order, and those that follow from them.
     void perform(std::vector<forwarding::request_action> actions);
+    // Replaces second sends to another zone by requests to its gatherers.
+    void gather_second_sends(std::vector<forwarding::request_action>& actions) const;
     // Returns the actions that follow if the gatherer can't be reached.
     std::vector<forwarding::request_action>
     start_group(const forwarding::gather_action& action);
