Teams: keys, withdrawn keys and limits over all VMs

A configuration may hold teams with keys, a priority and a limit (docs/design/teams.md). Keys are looked up in the newest configuration, never passed on or logged; the team's name goes to targets. With strict revocation a VM accepts keys while it holds a lease that a quorum of the core has confirmed. The leader keeps an account for each team with a limit, from what the VMs report, and names the part of its requests that all VMs admit.

--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -16,6 +16,8 @@
     base::instant last_report;
     base::instant last_response;
     bool responsive = false;
+    // When the reports were sent that have no answer yet, by their numbers.
+    std::map<std::uint64_t, base::instant> sent_reports;
     std::unique_ptr<wire::peer_dialer> dialer;
 };
 
@@ -169,6 +171,16 @@
             report.samples.push_back(std::move(entry));
         }
     }
+    if (callbacks_.team_uses && leader_responds() && peer.address == leader_) {
+        for (const deployment::team_use& use : callbacks_.team_uses()) {
+            auto entry = std::make_unique<wire::team_use_message>();
+            entry->team = use.team;
+            entry->arrived = use.arrived;
+            entry->admitted = use.admitted;
+            report.team_uses.push_back(std::move(entry));
+        }
+    }
+    peer.sent_reports[report.sequence] = peer.last_report;
     peer.dialer->send(std::move(report));
 }
 
@@ -218,6 +230,11 @@
         peer.responsive = true;
         log_.info("event=core_reached member=" + peer.address.str());
     }
+    const auto asked = peer.sent_reports.find(report.sequence());
+    const auto asked_at =
+        asked == peer.sent_reports.end() ? std::nullopt : std::optional(asked->second);
+    peer.sent_reports.erase(peer.sent_reports.begin(),
+                            peer.sent_reports.upper_bound(report.sequence()));
     std::set<base::endpoint> members;
     if (report.members() != nullptr) {
         for (const auto* text : *report.members()) {
@@ -243,6 +260,35 @@
     }
     on_suspects(report);
     on_gatherers(report);
+    on_team_answer(report, asked_at);
+}
+
+void core_links::on_team_answer(const wire::core_report& report,
+                                std::optional<base::instant> asked_at)
+{
+    // The answer is younger than the report, so the round began at most so long before
+    // the report was sent.
+    if (callbacks_.on_confirmed && report.confirmed_index() != 0 && asked_at) {
+        callbacks_.on_confirmed(report.confirmed_index(),
+                                *asked_at - base::duration(static_cast<std::int64_t>(
+                                                report.confirmed_age_ms())));
+    }
+    if (!callbacks_.on_team_shares) {
+        return;
+    }
+    constexpr double permille = 1000.0;
+    std::vector<deployment::team_share> shares;
+    if (report.team_shares() != nullptr) {
+        for (const wire::team_share* one : *report.team_shares()) {
+            if (one->team() != nullptr) {
+                shares.push_back(
+                    {one->team()->str(),
+                     static_cast<double>(one->admitted_permille()) / permille,
+                     base::duration(static_cast<std::int64_t>(one->wait_ms()))});
+            }
+        }
+    }
+    callbacks_.on_team_shares(std::move(shares));
 }
 
 // The last choice stays in use while no leader responds: each front finds by itself which
--- a/curranthoist/coreclient/core_links.hpp
+++ b/curranthoist/coreclient/core_links.hpp
@@ -7,6 +7,7 @@
 #include "curranthoist/deployment/gatherer.hpp"
 #include "curranthoist/deployment/listing_change.hpp"
 #include "curranthoist/deployment/target_sample.hpp"
+#include "curranthoist/deployment/team_use.hpp"
 #include "curranthoist/wire/peer_dialer.hpp"
 
 #include <ev++.h>
@@ -55,6 +56,14 @@
         std::function<void(std::set<base::target_id>)> on_suspects;
         // Called with the front processes that gather parts for others, by the leader.
         std::function<void(std::vector<deployment::gatherer>)> on_gatherers;
+        // Called when the leader confirms that the state of `index` was the newest one
+        // at `at` or later.
+        std::function<void(std::uint64_t index, base::instant at)> on_confirmed;
+        // Called with each answer of the leader, with the teams of which only a part of
+        // the requests fits into their limits.
+        std::function<void(std::vector<deployment::team_share>)> on_team_shares;
+        // Returns the requests of teams since the last report to the leader.
+        std::function<std::vector<deployment::team_use>()> team_uses;
         // Returns the samples of targets to report to the leader.
         std::function<std::vector<deployment::target_sample>()> samples;
     };
@@ -114,6 +123,9 @@
     void on_message(link& peer, const wire::envelope& message);
     void on_core_report(link& peer, const wire::core_report& report);
     void on_suspects(const wire::core_report& report);
+    // `asked_at` is when the report was sent that this answers, if that is known.
+    void on_team_answer(const wire::core_report& report,
+                        std::optional<base::instant> asked_at);
     void on_gatherers(const wire::core_report& report);
     void drop_old_suspects();
     void on_snapshot(const link& peer, const wire::deployment_snapshot& snapshot);
--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -4,6 +4,7 @@
 #include "curranthoist/base/wall_clock.hpp"
 #include "curranthoist/consensus/membership.hpp"
 #include "curranthoist/cored/operator_server_options.hpp"
+#include "curranthoist/platform/configuration_document.hpp"
 
 #include <algorithm>
 #include <filesystem>
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr double tick_s = 0.1;
+// One quorum round in this time serves the leases of all fronts.
+constexpr base::duration confirm_interval{200};
 // Without a leader or a vote for this time, it asks to be taken in. Elections take less.
 constexpr base::duration join_after{1500};
 // After all processes were killed, observers wait for this.
@@ -91,7 +94,7 @@
     , store_(prepare(disk_, settings_, founder_))
     , sessions_(
           state_, settings_.link_bytes_per_s, [this] { return view(); },
-          settings_.gather_from_fronts)
+          settings_.gather_from_fronts, settings_.team_limit_slack)
     , host_(loop_, store_, state_, host_options(),
             [this](std::unique_ptr<consensus::peer_session> session,
                    const wire::hello& hello) {
@@ -108,6 +111,7 @@
             " version=" + std::to_string(state_.version()) +
             " evacuated=" + std::to_string(state_.evacuated().size()));
         sessions_.on_state_change();
+        update_teams();
     });
     host_.set_leadership_handler([this](bool leads) { on_leadership(leads); });
     joiner_ = std::make_unique<join_client>(loop_, host_.status().self, own_peers());
@@ -177,6 +181,7 @@
     if (leads) {
         // What was applied before it led was sent to nobody.
         sessions_.on_state_change();
+        update_teams();
     }
     if (!reader_) {
         return;
@@ -190,12 +195,41 @@
     }
 }
 
+void core_process::update_teams()
+{
+    if (!host_.is_leader() || teams_version_ == state_.version()) {
+        return;
+    }
+    teams_version_ = state_.version();
+    try {
+        sessions_.set_teams(platform::decode_teams(state_.document()));
+    }
+    catch (const base::findings_error& error) {
+        log_.error("event=configuration_unreadable version=" +
+                   std::to_string(teams_version_) + " findings=\"" + error.what() + "\"");
+    }
+}
+
+void core_process::confirm_leadership(base::instant now)
+{
+    if (!settings_.revocation_limit || now - confirmed_at_ < confirm_interval) {
+        return;
+    }
+    confirmed_at_ = now;
+    host_.confirm_read([this, now](bool confirmed) {
+        if (confirmed) {
+            sessions_.confirm(state_.changed_at(), now);
+        }
+    });
+}
+
 void core_process::on_tick(ev::timer& /*watcher*/, int /*events*/)
 {
     const base::instant now = clock_.now();
     sessions_.close_silent();
     sessions_.send_due();
     if (host_.is_leader()) {
+        confirm_leadership(now);
         if (const auto change = keeper_.next_change(host_.status(), now)) {
             const std::string refused = host_.change_membership(*change);
             if (refused.empty()) {
--- a/curranthoist/cored/core_process.hpp
+++ b/curranthoist/cored/core_process.hpp
@@ -61,6 +61,10 @@
     [[nodiscard]] front_sessions::core_view view() const;
 
     void on_leadership(bool leads);
+    // On the leader: takes the teams of the newest configuration over.
+    void update_teams();
+    // On the leader: lets a quorum confirm it, for the leases of fronts on keys.
+    void confirm_leadership(base::instant now);
     void on_tick(ev::timer& watcher, int events);
     void on_stop_timer(ev::timer& watcher, int events);
     void join_if_needed(base::instant now);
@@ -87,6 +91,9 @@
     ev::timer stop_timer_;
     base::instant stop_until_;
     base::instant announced_;
+    base::instant confirmed_at_;
+    // The configuration whose teams are in use on this process as the leader.
+    std::uint64_t teams_version_ = 0;
     // Since when this process has neither been a voter with a leader nor led.
     base::instant without_place_since_ = base::instant::max();
 };
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr double permille = 1000.0;
 // The part of the link that states and lists may fill; the rest is for the replicated
 // log, its heartbeats, and the front process on the same VM.
 constexpr double link_part = 0.5;
@@ -36,13 +37,14 @@
 
 front_sessions::front_sessions(const deployment::deployment_state& state,
                                double link_bytes_per_s, view_source view,
-                               std::size_t gather_from_fronts)
+                               std::size_t gather_from_fronts, double team_limit_slack)
     : state_(state)
     , view_(std::move(view))
     , allowance_(link_bytes_per_s * link_part)
     , gather_from_fronts_(gather_from_fronts)
     , gatherers_(gather_from_fronts, std::random_device()(), clock_.now())
     , suspects_number_(std::random_device()())
+    , accounts_(team_limit_slack)
 {}
 
 void front_sessions::on_session(std::unique_ptr<consensus::peer_session> session,
@@ -129,10 +131,51 @@
                 gatherer_choice(gather_from_fronts_, std::random_device()(), now);
         }
         add_gatherers(answer, report, now);
+        add_team_shares(answer, report, now);
+        if (confirmed_) {
+            answer.confirmed_index = confirmed_->index.value();
+            answer.confirmed_age_ms =
+                static_cast<std::uint64_t>((now - confirmed_->at).count());
+        }
     }
     from.session->send(std::move(answer));
 }
 
+void front_sessions::add_team_shares(wire::core_report_message& answer,
+                                     const wire::front_report& report, base::instant now)
+{
+    if (report.team_uses() != nullptr) {
+        std::vector<deployment::team_use> uses;
+        for (const wire::team_use* use : *report.team_uses()) {
+            if (use->team() != nullptr) {
+                uses.push_back({use->team()->str(), use->arrived(), use->admitted()});
+            }
+        }
+        accounts_.add(uses, now);
+    }
+    if (now - shares_at_ >= shares_interval) {
+        shares_at_ = now;
+        auto shares = accounts_.shares(now);
+        if (shares.size() != shares_.size()) {
+            log_.info(
+                "event=team_shares_changed limited=" + std::to_string(shares.size()) +
+                (shares.empty() ? ""
+                                : " first=" + shares.front().team + " permille=" +
+                                      std::to_string(static_cast<int>(
+                                          shares.front().admitted_part * permille))));
+        }
+        shares_ = std::move(shares);
+    }
+    for (const deployment::team_share& share : shares_) {
+        auto entry = std::make_unique<wire::team_share_message>();
+        entry->team = share.team;
+        entry->admitted_permille =
+            static_cast<std::uint32_t>(share.admitted_part * permille);
+        entry->wait_ms = static_cast<std::uint64_t>(share.wait.count());
+        answer.team_shares.push_back(std::move(entry));
+    }
+}
+
 void front_sessions::add_suspects(wire::core_report_message& answer,
                                   const wire::front_report& report, base::instant now)
 {
--- a/curranthoist/cored/front_sessions.hpp
+++ b/curranthoist/cored/front_sessions.hpp
@@ -6,6 +6,7 @@
 #include "curranthoist/cored/gatherer_choice.hpp"
 #include "curranthoist/cored/send_allowance.hpp"
 #include "curranthoist/cored/suspect_targets.hpp"
+#include "curranthoist/cored/team_accounts.hpp"
 #include "curranthoist/deployment/deployment_state.hpp"
 #include "curranthoist/deployment/listing_change.hpp"
 
@@ -14,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -62,11 +64,14 @@
     static constexpr base::duration suspects_interval{200};
     // The gatherers are chosen anew at most once in this time.
     static constexpr base::duration gatherers_interval{200};
+    // The shares of teams are computed anew at most once in this time.
+    static constexpr base::duration shares_interval{100};
 
     // States and lists fill a part of the link at most. The state must outlive it.
-    // gatherer_choice explains `gather_from_fronts`.
+    // gatherer_choice explains `gather_from_fronts`, team_accounts `team_limit_slack`.
     front_sessions(const deployment::deployment_state& state, double link_bytes_per_s,
-                   view_source view, std::size_t gather_from_fronts = 0);
+                   view_source view, std::size_t gather_from_fronts = 0,
+                   double team_limit_slack = 0.0);
 
     void on_session(std::unique_ptr<consensus::peer_session> session,
                     const wire::hello& hello);
@@ -75,6 +80,14 @@
     // A reading of the platform's list by this process, which leads in `term`.
     void on_listing(std::uint64_t term, std::vector<deployment::listed_target> targets,
                     base::instant read_at);
+    // A quorum confirmed this process as the leader, in a round that began at `at`; no
+    // state was newer than that of `index` then.
+    void confirm(base::log_index index, base::instant at) { confirmed_ = {index, at}; }
+    // The teams of the newest configuration, on the leader.
+    void set_teams(std::span<const deployment::team> teams)
+    {
+        accounts_.set_teams(teams, clock_.now());
+    }
     // This process no longer leads; its last reading is dropped.
     void drop_listing() { listing_.reset(); }
     // Sends what fronts still lack, as far as the rate allows; call it often.
@@ -138,6 +151,9 @@
 
     void on_message(std::uint64_t number, const wire::envelope& message);
     void on_report(front_session& from, const wire::front_report& report);
+    // Takes over what a front admitted of each team, and tells it what fits.
+    void add_team_shares(wire::core_report_message& answer,
+                         const wire::front_report& report, base::instant now);
     // Names the targets that do badly in an answer to a report that lacks them.
     // Names the gatherers in an answer to a report that lacks the newest choice.
     void add_gatherers(wire::core_report_message& answer,
@@ -194,6 +210,16 @@
     // Starts at a random number, so that it is not that of an earlier leader.
     std::uint64_t suspects_number_;
     base::instant suspects_at_;
+    team_accounts accounts_;
+    std::vector<deployment::team_share> shares_;
+    base::instant shares_at_;
+    // The last confirmation of this process as the leader.
+    struct confirmation
+    {
+        base::log_index index;
+        base::instant at;
+    };
+    std::optional<confirmation> confirmed_;
 };
 
 } // namespace curranthoist::cored
--- /dev/null
+++ b/curranthoist/cored/team_accounts.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "curranthoist/base/instant.hpp"
+#include "curranthoist/deployment/team.hpp"
+#include "curranthoist/deployment/team_use.hpp"
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace curranthoist::cored {
+
+// The accounts of the teams with a limit, on the leader of the core: what each may still
+// send by its rate and burst, and which part of its requests fits. Load pattern: a team
+// that sends many times its rate over hundreds of VMs that each see little of it.
+//
+// VMs report what they admitted some tenths of a second late; what they admitted too much
+// meanwhile is taken off what follows, so that the sum over a window of some seconds
+// holds. An account starts empty, so that a change of the leader adds no burst.
+class team_accounts
+{
+public:
+    // All VMs together may admit `slack` requests too many before a share binds. Half of
+    // it is left to reports on their way, so that a team that only seems to be beyond its
+    // limit for a moment is not refused.
+    explicit team_accounts(double slack)
+        : slack_(slack)
+    {}
+
+    // Takes over the teams of a new configuration. Accounts are cut to the new bursts.
+    void set_teams(std::span<const deployment::team> teams, base::instant now);
+    // One VM's report.
+    void add(std::span<const deployment::team_use> uses, base::instant now);
+    // The teams of which only a part fits now.
+    [[nodiscard]] std::vector<deployment::team_share> shares(base::instant now);
+
+private:
+    struct account
+    {
+        double rate = 0.0;
+        double burst = 0.0;
+        double tokens = 0.0;
+        base::instant filled_at;
+        // Requests a second that arrive, smoothed.
+        double demand = 0.0;
+        double arrived = 0.0;
+        base::instant measured_at;
+    };
+
+    static void fill(account& one, base::instant now);
+    static void measure(account& one, base::instant now);
+
+    double slack_;
+    std::map<std::string, account> accounts_;
+};
+
+} // namespace curranthoist::cored
--- a/curranthoist/deployment/configuration.hpp
+++ b/curranthoist/deployment/configuration.hpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/duration.hpp"
 #include "curranthoist/base/identifiers.hpp"
 #include "curranthoist/deployment/route.hpp"
+#include "curranthoist/deployment/team.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -43,6 +44,8 @@
     std::vector<route> routes;
     std::map<base::service_id, service_limits> services;
     caller_limits limits;
+    // Empty if requests carry no keys.
+    std::vector<team> teams;
 };
 
 } // namespace curranthoist::deployment
--- a/curranthoist/deployment/route.hpp
+++ b/curranthoist/deployment/route.hpp
@@ -55,6 +55,8 @@
     std::size_t top_records = 0;
     // The minimum share of the shards, 0 to 1, that a gathered response must contain.
     double min_share = 1.0;
+    // Its requests need no key, also if there are teams.
+    bool is_public = false;
 
     // True if a response is gathered from the shards of an index.
     [[nodiscard]] bool gathers() const { return !shards.empty(); }
--- a/curranthoist/deployment/route_table.cpp
+++ b/curranthoist/deployment/route_table.cpp
@@ -34,6 +34,7 @@
 
 route_table::route_table(configuration source_configuration)
     : source_(std::move(source_configuration))
+    , teams_(source_.teams)
     , services_(collect_services(source_))
 {
     for (const route& configured_route : source_.routes) {
--- a/curranthoist/deployment/route_table.hpp
+++ b/curranthoist/deployment/route_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "curranthoist/deployment/configuration.hpp"
+#include "curranthoist/deployment/team_table.hpp"
 
 #include <map>
 #include <memory>
@@ -27,6 +28,8 @@
     // the route.
     [[nodiscard]] const route* find(std::string_view host, std::string_view path) const;
     [[nodiscard]] const configuration& source() const { return source_; }
+    // The teams of the configuration.
+    [[nodiscard]] const team_table& teams() const { return teams_; }
     // All services that the routes name, sorted and without duplicates.
     [[nodiscard]] const std::vector<base::service_id>& services() const
     {
@@ -37,6 +40,7 @@
     using prefix_map = std::map<std::string, const route*, std::less<>>;
 
     configuration source_;
+    team_table teams_;
     std::vector<base::service_id> services_;
     std::map<std::string, prefix_map, std::less<>> hosts_;
 };
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -26,6 +26,9 @@
 constexpr base::duration least_retry_after{50};
 // When a caller may come back that found too many requests open.
 constexpr base::duration full_retry_after{250};
+// When a caller may come back whose key could not be confirmed. A core that lost its
+// leader has another one within about a second.
+constexpr base::duration key_retry_after{500};
 // The load balancer asks once a second and believes the second miss; then it sends no new
 // connections.
 constexpr base::duration balancer_delay{2500};
@@ -149,6 +152,8 @@
                {},
                1}
     , configuration_(settings_.configuration_limit / configuration_wait_divisor)
+    , key_lease_(settings_.revocation_limit)
+    , team_admission_(context_.random.next())
     , gather_links_(loop, settings_.name)
     , gather_server_(loop, gather_endpoint(settings_), context_)
     , tick_(loop)
@@ -209,8 +214,17 @@
             context_.fronts = fronts;
             context_.budget.set_vm_count(fronts);
             context_.directory.set_vm_count(fronts);
+            team_admission_.set_vm_count(fronts);
         }
     };
+    on.on_confirmed = [this](std::uint64_t index, base::instant at) {
+        key_lease_.confirm(index, at);
+    };
+    on.on_team_shares = [this](const std::vector<deployment::team_share>& shares) {
+        team_admission_.on_leader(clock_.now());
+        team_admission_.set_shares(shares);
+    };
+    on.team_uses = [this] { return team_admission_.take_uses(); };
     return on;
 }
 
@@ -219,12 +233,14 @@
     context_.directory.set_evacuated(state.evacuated, clock_.now());
     withdraw_unsent(clock_.now());
     if (state.version <= configuration_.offered_version()) {
+        key_lease_.hold(state.index);
         return;
     }
     try {
         configuration_.offer(std::make_shared<const deployment::route_table>(
                                  platform::decode_configuration(state.document)),
                              clock_.now());
+        key_lease_.hold(state.index);
     }
     catch (const base::findings_error& error) {
         log_.error("event=configuration_unreadable version=" +
@@ -286,6 +302,9 @@
             platform::own_response(http::status::not_found, "no route", std::nullopt));
         return;
     }
+    if (!admit_team(inbound, *route, answer)) {
+        return;
+    }
     auto place = context_.open_requests.take(route->gathers() ? route->shards.size() : 1);
     if (!place) {
         refuse(inbound, answer, "too many requests are open", full_retry_after);
@@ -302,6 +321,71 @@
     });
 }
 
+const deployment::route_table& front_process::newest_table() const
+{
+    return configuration_.pending() ? *configuration_.pending()
+                                    : *configuration_.current();
+}
+
+bool front_process::admit_team(platform::inbound_request& request,
+                               const deployment::route& route,
+                               const http::responder& answer)
+{
+    const deployment::team_table& teams = newest_table().teams();
+    if (teams.empty()) {
+        platform::keep_team_headers(request);
+        return true;
+    }
+    if (route.is_public) {
+        return true;
+    }
+    const base::instant now = clock_.now();
+    if (!key_lease_.is_valid(now)) {
+        count_team("", "unconfirmed");
+        refuse(request, answer, "keys can't be confirmed now", key_retry_after);
+        return false;
+    }
+    const deployment::team* team = teams.find(request.key);
+    if (team == nullptr && links_->live_members() == 0) {
+        // It may be a new one.
+        count_team("", "unconfirmed");
+        refuse(request, answer, "the key can't be looked up now", key_retry_after);
+        return false;
+    }
+    if (team == nullptr) {
+        count_team("", "unknown_key");
+        log_.info("event=request_refused id=" + request.attempt.str() +
+                  " reason=\"unknown key\" version=" +
+                  std::to_string(newest_table().source().version));
+        answer.respond(platform::own_response(http::status::unauthorized, "unknown key",
+                                              std::nullopt));
+        return false;
+    }
+    if (const auto wait = team_admission_.refusal(*team, now)) {
+        count_team(team->name, "over_limit");
+        log_.info("event=request_refused id=" + request.attempt.str() +
+                  " reason=\"team over its limit\" team=" + team->name +
+                  " retry_after_ms=" + std::to_string(wait->count()));
+        answer.respond(platform::own_response(http::status::too_many_requests,
+                                              "not run: the team is over its limit",
+                                              *wait));
+        return false;
+    }
+    count_team(team->name, "admitted");
+    platform::set_team(request, team->name);
+    request.priority = team->priority;
+    return true;
+}
+
+void front_process::count_team(const std::string& team, const char* outcome)
+{
+    context_.metrics
+        .counter_named("curranthoist_team_requests_total",
+                       "Requests with keys by team and outcome",
+                       "team=\"" + team + "\",outcome=\"" + outcome + "\"")
+        .add();
+}
+
 void front_process::refuse(const platform::inbound_request& request,
                            const http::responder& answer, const char* reason,
                            base::duration retry_after)
--- a/curranthoist/frontd/front_process.hpp
+++ b/curranthoist/frontd/front_process.hpp
@@ -4,6 +4,8 @@
 #include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/coreclient/core_links.hpp"
 #include "curranthoist/forwarding/configuration_switch.hpp"
+#include "curranthoist/forwarding/key_lease.hpp"
+#include "curranthoist/forwarding/team_admission.hpp"
 #include "curranthoist/frontd/caller_task.hpp"
 #include "curranthoist/frontd/gather_links.hpp"
 #include "curranthoist/frontd/gather_server.hpp"
@@ -52,6 +54,15 @@
     // each request is sent to another target, or refused if there is none.
     void withdraw_unsent(base::instant now);
     void on_request(http::caller_request request, http::responder answer);
+    // Determines the team of a request by its key. Answers the request and returns false
+    // if it may not run: its key is unknown, can't be known now, or its team is beyond
+    // its limit.
+    bool admit_team(platform::inbound_request& request, const deployment::route& route,
+                    const http::responder& answer);
+    // The configuration with the highest version, also before it is in force: withdrawn
+    // keys end with it, and new ones begin.
+    [[nodiscard]] const deployment::route_table& newest_table() const;
+    void count_team(const std::string& team, const char* outcome);
     void on_readiness(const http::caller_request& request, const http::responder& answer);
     // Brings the gauges up to date before they are read.
     void set_gauges();
@@ -75,6 +86,8 @@
     base::monotonic_clock clock_;
     task_context context_;
     forwarding::configuration_switch configuration_;
+    forwarding::key_lease key_lease_;
+    forwarding::team_admission team_admission_;
     std::map<std::uint64_t, std::shared_ptr<caller_task>> tasks_;
     std::uint64_t last_task_ = 0;
     // Ended tasks, dropped outside of their handlers.
--- a/curranthoist/http/status.hpp
+++ b/curranthoist/http/status.hpp
@@ -10,6 +10,7 @@
 constexpr unsigned first_redirect = 300;
 constexpr unsigned temporary_redirect = 307;
 constexpr unsigned bad_request = 400;
+constexpr unsigned unauthorized = 401;
 constexpr unsigned not_found = 404;
 constexpr unsigned method_not_allowed = 405;
 constexpr unsigned request_timeout = 408;
--- a/curranthoist/platform/caller_exchange.cpp
+++ b/curranthoist/platform/caller_exchange.cpp
@@ -24,6 +24,8 @@
 constexpr std::string_view not_run_header = "Not-Executed";
 constexpr std::string_view leaving_header = "Server-Leaving";
 constexpr std::string_view retry_after_header = "Retry-After";
+constexpr std::string_view key_header = "Key";
+constexpr std::string_view team_header = "Tenant";
 
 // Headers that concern one connection, and those that this system sets itself.
 constexpr std::array<std::string_view, 12> connection_headers{
@@ -111,20 +113,32 @@
     return headers;
 }
 
-// Without the headers that are set anew for each target.
-std::string lines_of(const http::header_map& headers)
+bool equal_names(std::string_view a, std::string_view b)
+{
+    return !http::header_less()(a, b) && !http::header_less()(b, a);
+}
+
+void append_line(std::string& lines, std::string_view name, std::string_view value)
+{
+    lines.append(name).append(": ").append(value).append("\r\n");
+}
+
+// Sets the header lines, without the headers that are set anew for each target.
+void set_lines(inbound_request& request, const http::header_map& headers)
 {
     std::string lines;
     for (const auto& [name, value] : headers) {
-        const auto is = [&, &header = name](std::string_view other) {
-            return !http::header_less()(header, other) &&
-                   !http::header_less()(other, header);
+        const auto is = [&header = name](std::string_view other) {
+            return equal_names(header, other);
         };
-        if (!is(attempt_header) && !is(deadline_header) && !is(instance_header)) {
-            lines.append(name).append(": ").append(value).append("\r\n");
+        if (is(key_header) || is(team_header)) {
+            append_line(request.team_lines, name, value);
+        }
+        else if (!is(attempt_header) && !is(deadline_header) && !is(instance_header)) {
+            append_line(lines, name, value);
         }
     }
-    return lines;
+    request.header_lines = std::make_shared<const std::string>(std::move(lines));
 }
 
 forwarding::response_kind kind_of(const http::target_result& result, bool is_signed)
@@ -184,13 +198,29 @@
     }
     result.method = std::move(request.method);
     result.target = std::move(request.target);
-    result.header_lines = std::make_shared<const std::string>(
-        lines_of(end_to_end(std::move(request.headers))));
+    result.key = request.header(key_header).value_or("");
+    set_lines(result, end_to_end(std::move(request.headers)));
     result.body = shared_body_of(request);
     result.connection_was_new = request.connection_was_new;
     return result;
 }
 
+void set_team(inbound_request& request, const std::string& team)
+{
+    request.team = team;
+    std::string lines = *request.header_lines;
+    append_line(lines, team_header, team);
+    request.header_lines = std::make_shared<const std::string>(std::move(lines));
+}
+
+void keep_team_headers(inbound_request& request)
+{
+    if (!request.team_lines.empty()) {
+        request.header_lines = std::make_shared<const std::string>(*request.header_lines +
+                                                                   request.team_lines);
+    }
+}
+
 http::target_call encode_target_call(const inbound_request& request,
                                      const base::target_id& expected,
                                      base::duration time_left)
--- a/curranthoist/platform/caller_exchange.hpp
+++ b/curranthoist/platform/caller_exchange.hpp
@@ -32,6 +32,13 @@
     // The lines of the headers that go on to every target unchanged: without those that
     // concern one connection only, and without the attempt's name and the deadline.
     std::shared_ptr<const std::string> header_lines;
+    // The caller's key; empty if it sent none. Not among the header lines.
+    std::string key;
+    // The lines of the headers for key and team as they were sent.
+    std::string team_lines;
+    // The team's name, and its priority, which goes before the route's.
+    std::string team;
+    std::optional<unsigned> priority;
     // Never null. Whoever holds it holds its part of the memory for requests.
     std::shared_ptr<const std::string> body = std::make_shared<const std::string>();
     // The caller made a connection for it, and began to wait before that.
@@ -50,6 +57,12 @@
 
 inbound_request decode_caller_request(http::caller_request request);
 
+// Names the team to the targets. Without it, what the caller sent of key and team does
+// not reach them.
+void set_team(inbound_request& request, const std::string& team);
+// Lets the headers for key and team go on as any others: there are no teams.
+void keep_team_headers(inbound_request& request);
+
 // The call that sends the request on to the run of a target named `expected`, which stops
 // work after `time_left`.
 http::target_call encode_target_call(const inbound_request& request,
--- a/curranthoist/platform/configuration_document.cpp
+++ b/curranthoist/platform/configuration_document.cpp
@@ -7,6 +7,7 @@
 
 #include <cmath>
 #include <limits>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -63,6 +64,18 @@
         return base::duration(static_cast<std::int64_t>(
             number(name, static_cast<double>(otherwise.count()))));
     }
+    bool flag(const char* name)
+    {
+        const json* field = find(name);
+        if (field == nullptr) {
+            return false;
+        }
+        if (!field->is_boolean()) {
+            found_.add(at(name), "must be true or false");
+            return false;
+        }
+        return field->get<bool>();
+    }
     std::size_t count(const char* name, std::size_t otherwise)
     {
         return static_cast<std::size_t>(number(name, static_cast<double>(otherwise)));
@@ -112,6 +125,9 @@
         }
         each(fields, "services", [this](field_reader& one) { add_service(one); });
         each(fields, "routes", [this](field_reader& one) { add_route(one); });
+        if (fields.find("tenants") != nullptr) {
+            each(fields, "tenants", [this](field_reader& one) { add_team(one); });
+        }
         if (const json* limits = fields.find("limits")) {
             if (limits->is_object()) {
                 read_limits(field_reader(*limits, "limits", found_));
@@ -182,6 +198,7 @@
         one.max_attempts = static_cast<unsigned>(fields.count("max_attempts", 1));
         one.top_records = fields.count("top_k", 0);
         one.min_share = fields.number("min_shard_share", 1.0);
+        one.is_public = fields.flag("public");
         read_destinations(fields, one);
         if (one.path_prefix.empty() || one.path_prefix.front() != '/' ||
             one.path_prefix.back() != '/') {
@@ -211,6 +228,39 @@
             known_service(fields.find("service"), fields.at("service"));
         one.services.push_back({id, 1.0});
     }
+    void add_team(field_reader& fields)
+    {
+        deployment::team one;
+        one.name = fields.text("name");
+        if (one.name.empty() || !teams_.insert(one.name).second) {
+            fields.add("name", "is empty or that of another team");
+        }
+        one.priority = static_cast<unsigned>(fields.count("priority", 0));
+        one.rate = fields.number("rate_per_s", 0);
+        one.burst = fields.number("burst", 0);
+        if (fields.find("api_keys") != nullptr) {
+            for (const json& key : fields.list("api_keys")) {
+                add_key(fields, one, key);
+            }
+        }
+        result_.teams.push_back(std::move(one));
+    }
+    // Findings don't repeat the key, since they are logged.
+    void add_key(field_reader& fields, deployment::team& holder, const json& key)
+    {
+        if (!key.is_string() || key.get_ref<const std::string&>().empty()) {
+            fields.add("api_keys", "must hold texts that are not empty");
+            return;
+        }
+        const auto [known, added] =
+            key_holders_.emplace(key.get<std::string>(), holder.name);
+        if (added) {
+            holder.keys.push_back(known->first);
+        }
+        else if (known->second != holder.name) {
+            fields.add("api_keys", "another team holds one of these keys");
+        }
+    }
     void read_split(field_reader& fields, deployment::route& one)
     {
         double sum = 0;
@@ -243,11 +293,22 @@
 
     base::findings& found_;
     deployment::configuration result_;
+    std::set<std::string> teams_;
+    std::map<std::string, std::string> key_holders_;
     std::set<std::pair<std::string, std::string>> places_;
 };
 
 } // namespace
 
+std::vector<deployment::team> decode_teams(std::string_view document)
+{
+    // Most deployments have none, and their documents are long.
+    if (document.find("\"tenants\"") == std::string_view::npos) {
+        return {};
+    }
+    return decode_configuration(document).teams;
+}
+
 deployment::configuration decode_configuration(std::string_view document)
 {
     base::findings found;
--- a/curranthoist/platform/node_settings.cpp
+++ b/curranthoist/platform/node_settings.cpp
@@ -240,6 +240,13 @@
         values.number("cloud_api.rate_per_s", result.list_calls_per_s);
     result.configuration_limit =
         values.milliseconds("bounds.config_apply_ms", result.configuration_limit);
+    if (values.flag("bounds.strict_revocation")) {
+        constexpr base::duration default_revocation{5000};
+        result.revocation_limit =
+            values.milliseconds("bounds.revocation_ms", default_revocation);
+    }
+    result.team_limit_slack =
+        values.number("bounds.quota_slack", result.team_limit_slack);
     result.stop_limit = values.seconds("bounds.grace_period_s", result.stop_limit);
     result.extra_ratio = values.number("bounds.retry_budget_ratio", result.extra_ratio);
     result.extra_slack = values.number("bounds.retry_budget_slack", result.extra_slack);
--- a/curranthoist/platform/node_settings.hpp
+++ b/curranthoist/platform/node_settings.hpp
@@ -54,6 +54,12 @@
     std::size_t gather_from_fronts = 40;
     // From the acknowledgement of a configuration until it is in force on every VM.
     base::duration configuration_limit{3000};
+    // From the acknowledgement of a configuration that withdraws a key until no VM takes
+    // the key, in touch with the core or not; nothing if only VMs in touch are bound.
+    std::optional<base::duration> revocation_limit;
+    // Requests of a team beyond its limit that all VMs together may admit in some
+    // seconds.
+    double team_limit_slack = 0.0;
     // From SIGTERM to SIGKILL.
     base::duration stop_limit{6000};
     // Extra sends to a service's targets, by all VMs together within extra_window: at
