--- a/curranthoist/platform/caller_exchange_test.cpp
+++ b/curranthoist/platform/caller_exchange_test.cpp
@@ -185,5 +185,22 @@
     EXPECT_FALSE(decode_health_answer(whole(503, {})).healthy);
 }
 
+// Guards against a key that reaches a target, and against a caller that names a team
+// itself.
+TEST(caller_exchange_test, a_team_is_named_by_this_system_alone)
+{
+    http::caller_request from;
+    from.headers = {{"Host", "h"}, {"Key", "secret"}, {"Tenant", "other"}};
+    inbound_request request = decode_caller_request(from);
+    EXPECT_EQ(request.key, "secret");
+    EXPECT_EQ(*request.header_lines, "Host: h\r\n");
+    set_team(request, "a");
+    EXPECT_EQ(*request.header_lines, "Host: h\r\nTenant: a\r\n");
+    // Without teams these are headers like any others.
+    inbound_request untouched = decode_caller_request(from);
+    keep_team_headers(untouched);
+    EXPECT_EQ(*untouched.header_lines, "Host: h\r\nKey: secret\r\nTenant: other\r\n");
+}
+
 } // namespace
 } // namespace curranthoist::platform
--- a/curranthoist/platform/configuration_document_test.cpp
+++ b/curranthoist/platform/configuration_document_test.cpp
@@ -118,5 +118,39 @@
     EXPECT_NE(found.find("routes[1].path_prefix"), std::string::npos);
 }
 
+std::string with_teams(const std::string& teams)
+{
+    const std::string text = document(route(R"("service":"s","public":true)"));
+    return text.substr(0, text.size() - 1) + R"(,"tenants":[)" + teams + "]}";
+}
+
+// Guards against limits and keys that are read into the wrong place.
+TEST(configuration_document_test, reads_teams)
+{
+    const auto read = decode_configuration(
+        with_teams(R"({"name":"a","api_keys":["k1","k2"],"priority":1,"rate_per_s":17,)"
+                   R"("burst":4.5},{"name":"b"})"));
+    ASSERT_EQ(read.teams.size(), 2U);
+    EXPECT_EQ(read.teams[0], (deployment::team{"a", {"k1", "k2"}, 1, 17, 4.5}));
+    EXPECT_EQ(read.teams[1], (deployment::team{"b", {}, 0, 0, 0}));
+    EXPECT_FALSE(read.teams[1].is_limited());
+    EXPECT_TRUE(read.routes[0].is_public);
+    EXPECT_TRUE(decode_teams(document(route(R"("service":"s")"))).empty());
+}
+
+// Guards against a key whose requests could run for either of two teams, and against keys
+// in findings, which are logged.
+TEST(configuration_document_test, a_key_of_two_teams_is_a_finding_that_does_not_name_it)
+{
+    const std::string found = findings_of(with_teams(
+        R"({"name":"a","api_keys":["secret"]},{"name":"b","api_keys":["secret"]})"));
+    EXPECT_NE(found.find("tenants[1].api_keys"), std::string::npos) << found;
+    EXPECT_EQ(found.find("secret"), std::string::npos);
+    EXPECT_NE(findings_of(with_teams(R"({"name":"a"},{"name":"a"})")), "");
+    EXPECT_NE(findings_of(with_teams(R"({"name":"a","api_keys":[""]})")), "");
+    EXPECT_NE(findings_of(with_teams(R"({"name":"a","api_keys":[7]})")), "");
+    EXPECT_NE(findings_of(with_teams("7")), "");
+}
+
 } // namespace
 } // namespace curranthoist::platform
--- a/curranthoist/testing/platform/stand_in_platform.cpp
+++ b/curranthoist/testing/platform/stand_in_platform.cpp
@@ -191,8 +191,9 @@
     const base::instant now = clock_.now();
     {
         const std::lock_guard lock(mutex_);
-        journal_.push_back(
-            {id, attempt, request.method, request.target, request.body, now});
+        journal_.push_back({id, attempt, request.method, request.target, request.body,
+                            now, request.header("Tenant").value_or(""),
+                            request.header("Key").value_or("")});
     }
     if (at.listed.work == base::duration()) {
         answer_run(at, attempt, answer);
--- a/curranthoist/testing/platform/stand_in_platform.hpp
+++ b/curranthoist/testing/platform/stand_in_platform.hpp
@@ -68,6 +68,9 @@
         std::string body;
         // When it began.
         base::instant at;
+        // The team that it was told, and the caller's key, which should not reach it.
+        std::string team;
+        std::string key;
     };
 
     explicit stand_in_platform(const base::endpoint& list);
