Say less between VMs: name the core's members once, and report to followers each 3.6 s

Members are left out if the report names the same; a front that hears the leader reports to the others each 3.6 s instead of 1.2 s. Without a leader every member is asked each 0.4 s as before.

--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -162,6 +162,7 @@
     report.suspects_number = suspects_number_;
     report.gatherers_number = gatherers_number_;
     report.stopping = stopping_;
+    report.members_number = members_number_;
     if (callbacks_.samples && leader_responds() && peer.address == leader_) {
         for (const deployment::target_sample& sample : callbacks_.samples()) {
             auto entry = std::make_unique<wire::target_sample_message>();
@@ -250,6 +251,9 @@
     leader_ = peer.address;
     leader_heard_ = clock_.now();
     unconfirmed_members_.clear();
+    if (!members.empty()) {
+        members_number_ = report.members_number();
+    }
     if (!members.empty() && members != members_) {
         members_ = std::move(members);
         log_.info("event=core_members_changed members=" +
--- a/curranthoist/coreclient/core_links.hpp
+++ b/curranthoist/coreclient/core_links.hpp
@@ -71,7 +71,7 @@
     static constexpr base::duration report_interval{400};
     // Interval of the reports to members other than the leader while the leader responds.
     // The leader sends new data at once, so the other members need fewer reports.
-    static constexpr base::duration follower_report_interval{1200};
+    static constexpr base::duration follower_report_interval{3600};
     // If the leader has not responded for this time, the process also connects to the
     // seeds and to the unconfirmed members: the leader may be a member that it does not
     // know.
@@ -140,6 +140,8 @@
     base::zone_id zone_;
     base::incarnation incarnation_;
     std::vector<base::endpoint> seeds_;
+    // Names the members that the last leader named, so that it need not repeat them.
+    std::uint64_t members_number_ = 0;
     // The members that the last leader named, its address, and the time of its last
     // response.
     std::set<base::endpoint> members_;
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -13,6 +13,16 @@
 namespace {
 
 constexpr double permille = 1000.0;
+
+// Names a set of members; the same on each process. Never 0.
+std::uint64_t number_of(std::span<const std::string> members)
+{
+    std::size_t number = 1;
+    for (const std::string& one : members) {
+        number = std::hash<std::string>()(std::to_string(number) + one);
+    }
+    return number;
+}
 // The part of the link that states and lists may fill; the rest is for the replicated
 // log, its heartbeats, and the front process on the same VM.
 constexpr double link_part = 0.5;
@@ -99,6 +109,8 @@
     const base::instant now = clock_.now();
     const core_view view = view_();
     from.last_report = now;
+    from.report_limit =
+        report.hears_leader() && !view.leader ? rare_report_limit : report_limit;
     fronts_changed_ = fronts_changed_ || from.observes != report.observes();
     from.observes = report.observes();
     from.stopping = report.stopping();
@@ -121,7 +133,10 @@
     answer.sequence = report.sequence();
     answer.leader = view.leader;
     answer.fronts = static_cast<std::uint32_t>(live_fronts());
-    answer.members = view.members;
+    answer.members_number = number_of(view.members);
+    if (report.members_number() != answer.members_number) {
+        answer.members = view.members;
+    }
     if (view.leader) {
         suspects_.add(samples_of(report), now);
         add_suspects(answer, report, now);
@@ -481,7 +496,7 @@
     }
     std::set<std::string_view> names;
     for (const auto& [number, one] : sessions_) {
-        if (!one.observes && now - one.last_report < report_limit) {
+        if (!one.observes && now - one.last_report < one.report_limit) {
             names.insert(one.name);
         }
     }
@@ -495,7 +510,7 @@
 {
     const base::instant now = clock_.now();
     std::erase_if(sessions_, [&](const auto& one) {
-        const bool silent = now - one.second.last_report > report_limit * 2;
+        const bool silent = now - one.second.last_report > one.second.report_limit * 2;
         if (silent) {
             log_.info("event=session_closed vm=" + one.second.name +
                       " reason=\"no report\"");
--- a/curranthoist/cored/front_sessions.hpp
+++ b/curranthoist/cored/front_sessions.hpp
@@ -42,6 +42,9 @@
     // A front without a report for this time is not counted; a session without one is
     // closed after twice that.
     static constexpr base::duration report_limit{2000};
+    // The same for a front that hears another member as the leader, and reports rarely
+    // to this one. Longer than core_links::follower_report_interval.
+    static constexpr base::duration rare_report_limit{6000};
     // A member that does not lead sends a state to a front that has lacked it for this
     // time and does not hear the leader, or that has lacked it for the longer time: a
     // leader needs a second for hundreds of fronts, and all members at once would need
@@ -121,6 +124,8 @@
         std::optional<deployment::gatherer> gatherer;
         base::instant since;
         base::instant last_report;
+        // How long it may go without another report.
+        base::duration report_limit = front_sessions::report_limit;
         bool stopping = false;
         // The newest state that was sent over this session, which loses nothing, and
         // the one that the front holds by its last report.
