Send second sends to another zone through its gatherers, one report a part

A part of a second send is reported by itself; merged reports go first when an answer is put together, and a single one is used only for a shard that none of them has (request_sends_test).

--- a/curranthoist/forwarding/request_action.hpp
+++ b/curranthoist/forwarding/request_action.hpp
@@ -23,12 +23,15 @@
 };
 
 // Sends the request to one target of each of these shards through a gatherer, which
-// chooses the targets. `calls` and `shards` are in the same order.
+// chooses the targets. `calls` and `shards` are in the same order. `separate` asks for a
+// report of its own for each part: another answer for one of the shards may come, and the
+// records of a merged report belong to all of its parts.
 struct gather_action
 {
     base::vm_id gatherer;
     std::vector<call_id> calls;
     std::vector<std::size_t> shards;
+    bool separate = false;
 };
 
 // Cancels a call whose response is no longer needed.
--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -141,6 +141,7 @@
                                        context_.directory, context_.own_name)) {
         forwarding::gather_action action;
         action.gatherer = group.gatherer;
+        action.separate = true;
         for (const std::size_t index : group.sends) {
             action.calls.push_back(sends[index].call);
             action.shards.push_back(sends[index].shard);
@@ -217,6 +218,7 @@
 {
     const base::instant now = clock_.now();
     const std::size_t index = sends_.add_group({action.gatherer, 0, action.calls, now});
+    sends_.group(index).separate = action.separate;
     wire::gather_request_message request;
     request.time_left_ms =
         static_cast<std::uint64_t>(std::max(hard_limit_ - now, 1_ms).count());
@@ -227,6 +229,7 @@
     request.target = request_.target;
     request.header_lines = *request_.header_lines;
     request.body.assign(request_.body->begin(), request_.body->end());
+    request.separate = action.separate;
     request.top_records = static_cast<std::uint32_t>(route_.top_records);
     for (std::size_t i = 0; i < action.calls.size(); ++i) {
         request.services.push_back(run_->service_of(action.shards[i]).str());
@@ -354,7 +357,7 @@
     const base::instant now = clock_.now();
     const base::duration limit = times(arrived_).report_limit;
     for (group_send& group : sends_.groups()) {
-        if (group.request != 0 && !group.reported && !group.overdue &&
+        if (group.request != 0 && !group.reported && !group.overdue && !group.separate &&
             now - group.sent >= limit) {
             group.overdue = true;
             context_.gather->on_overdue(group.gatherer);
--- a/curranthoist/frontd/gather_task.cpp
+++ b/curranthoist/frontd/gather_task.cpp
@@ -44,6 +44,7 @@
     , id_(request.id())
     , request_(request_of(request))
     , top_records_(request.top_records())
+    , separate_(request.separate())
     , objective_(static_cast<std::int64_t>(request.objective_ms()))
     , deadline_(clock_.now() +
                 base::duration(static_cast<std::int64_t>(request.time_left_ms())))
@@ -69,6 +70,16 @@
     for (std::size_t i = 0; i < parts_.size(); ++i) {
         send(i, source);
     }
+    if (separate_) {
+        reported_ = true;
+        for (std::size_t i = 0; i < parts_.size(); ++i) {
+            if (!parts_[i].open) {
+                report_late(i);
+            }
+        }
+        end_if_done();
+        return;
+    }
     if (open_parts_ == 0) {
         report();
         end_if_done();
--- a/curranthoist/frontd/gather_task.hpp
+++ b/curranthoist/frontd/gather_task.hpp
@@ -72,6 +72,8 @@
     std::uint64_t id_;
     platform::inbound_request request_;
     std::size_t top_records_;
+    // Each part is reported by itself.
+    bool separate_;
     base::duration objective_;
     base::monotonic_clock clock_;
     base::instant deadline_;
--- a/curranthoist/frontd/group_send.hpp
+++ b/curranthoist/frontd/group_send.hpp
@@ -19,6 +19,8 @@
     base::instant sent;
     bool reported = false;
     bool overdue = false;
+    // Its parts are reported one by one, as they come.
+    bool separate = false;
 };
 
 } // namespace curranthoist::frontd
--- a/curranthoist/frontd/request_sends.cpp
+++ b/curranthoist/frontd/request_sends.cpp
@@ -45,18 +45,29 @@
     std::vector<std::string_view> bodies;
     std::set<std::size_t> used_reports;
     std::set<std::size_t> reported_shards;
+    const auto use_report = [&](std::size_t number) {
+        if (used_reports.insert(number).second) {
+            const gathered_parts& report = reports_[number];
+            signatures.insert(signatures.end(), report.signatures.begin(),
+                              report.signatures.end());
+            bodies.push_back(report.records);
+            reported_shards.insert(report.shards.begin(), report.shards.end());
+        }
+    };
+    // The records of a report belong to all of its parts, so that none can be left out,
+    // also if another answer has come for the shard since. So those with several parts
+    // go first.
+    for (const forwarding::call_id call : answers) {
+        const target_send& sent = sends_.at(call);
+        if (sent.report && reports_[*sent.report].shards.size() > 1) {
+            use_report(*sent.report);
+        }
+    }
     for (const forwarding::call_id call : answers) {
         const target_send& sent = sends_.at(call);
-        if (!sent.report || !used_reports.insert(*sent.report).second) {
-            continue;
+        if (sent.report && !reported_shards.contains(sent.shard)) {
+            use_report(*sent.report);
         }
-        // The records of a report belong to all of its parts, so that none can be left
-        // out, also if another target has answered for the shard since.
-        const gathered_parts& report = reports_[*sent.report];
-        signatures.insert(signatures.end(), report.signatures.begin(),
-                          report.signatures.end());
-        bodies.push_back(report.records);
-        reported_shards.insert(report.shards.begin(), report.shards.end());
     }
     for (const forwarding::call_id call : answers) {
         const target_send& sent = sends_.at(call);
