--- /dev/null
+++ b/curranthoist/deployment/configuration_bounds.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "curranthoist/base/duration.hpp"
+
+#include <cstddef>
+
+namespace curranthoist::deployment {
+
+// What one VM carries, whatever a configuration allows.
+struct configuration_bounds
+{
+    // Longer bodies get 413: bodies of requests share an eighth of a VM's memory.
+    std::size_t max_body_bytes = std::size_t{1024} * 1024;
+    // Longer heads get 431: they don't fit into the memory reserved for a connection.
+    std::size_t max_header_bytes = std::size_t{16} * 1024;
+    // One connection for requests, and one that is closing or belongs to a VM that has
+    // just joined.
+    std::size_t min_connections = 2;
+    // A send to a target takes at least this long: a round trip and the work itself.
+    base::duration min_try_time{2};
+};
+
+} // namespace curranthoist::deployment
