curranthoist-ctl check: check a configuration document before it is sent

Operators learned of a mistake from the core's refusal, and of entries that match or serve nothing not at all. `check FILE` prints the errors that the core would find, by the core's own decoder, warnings with the places of the document, and what differs from a file or from the configuration in force. Warnings leave the exit code 0; 8 is for errors, 9 for what can't be read.

--- a/curranthoist/ctl/exit_code.hpp
+++ b/curranthoist/ctl/exit_code.hpp
@@ -18,7 +18,11 @@
     // The operator did not confirm the plan.
     declined = 6,
     // `explain` found no such decision.
-    not_found = 7
+    not_found = 7,
+    // `check` found errors for which the core would refuse the document.
+    invalid_document = 8,
+    // `check` could not read the document or the one in force.
+    unreadable_document = 9
 };
 
 } // namespace curranthoist::ctl
--- a/curranthoist/ctl/main.cpp
+++ b/curranthoist/ctl/main.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/base/endpoint.hpp"
 #include "curranthoist/base/findings_error.hpp"
+#include "curranthoist/ctl/check_command.hpp"
 #include "curranthoist/ctl/commands.hpp"
 #include "curranthoist/ctl/story.hpp"
 
@@ -26,7 +27,9 @@
   5  no leader answered; an intent that was sent may have been accepted, so send it
      again with the same --intent-id
   6  not confirmed
-  7  explain: no such decision is kept; story: no line names the request)";
+  7  explain: no such decision is kept; story: no line names the request
+  8  check: the document has errors, so the core would refuse it
+  9  check: the document or the one in force can't be read)";
 
 std::string check_control(const std::string& text)
 {
@@ -45,7 +48,7 @@
 {
     app.add_option("--control", chosen.controls,
                    "address:port of a control process; repeat it for each of them. Every "
-                   "command but story needs it")
+                   "command but story and check needs it")
         ->check(check_control);
     app.add_option("--operator", chosen.operator_name, "Who decides; needed by apply");
     app.add_option("--intent-id", chosen.intent_id,
@@ -61,6 +64,9 @@
                    ? exit_code::done
                    : exit_code::not_found;
     }
+    if (name == "check") {
+        return curranthoist::ctl::check(chosen);
+    }
     commands all(chosen);
     if (name == "plan") {
         return all.plan();
@@ -101,9 +107,18 @@
         app.add_subcommand("story", "Print what log files say of one request, in order");
     story->add_option("request", chosen.subject, "The request's id")->required();
     story->add_option("logs", chosen.words, "Log files of all VMs")->required();
+    auto* check = app.add_subcommand(
+        "check", "Check a configuration document of the platform before it is sent");
+    check->add_option("document", chosen.subject, "The document's file")->required();
+    check->add_option("--against", chosen.against,
+                      "File with the configuration in force; --control reads it from "
+                      "there instead");
     try {
         app.parse(argc, argv);
-        if (!story->parsed() && chosen.controls.empty()) {
+        if (!chosen.against.empty() && !chosen.controls.empty()) {
+            throw CLI::ExcludesError("--against", "--control");
+        }
+        if (!story->parsed() && !check->parsed() && chosen.controls.empty()) {
             throw CLI::RequiredError("--control");
         }
         if (apply->parsed() && chosen.operator_name.empty()) {
--- a/curranthoist/ctl/options.hpp
+++ b/curranthoist/ctl/options.hpp
@@ -19,8 +19,10 @@
     std::vector<std::string> words;
     // A file with one intent or a list of them.
     std::string file;
-    // For `explain`.
+    // For `explain`, `story` and `check`: a decision, a request, a file.
     std::string subject;
+    // For `check`: a file with the document in force.
+    std::string against;
 };
 
 } // namespace curranthoist::ctl
--- /dev/null
+++ b/curranthoist/platform/configuration_review.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "curranthoist/base/findings.hpp"
+#include "curranthoist/deployment/configuration.hpp"
+#include "curranthoist/deployment/configuration_field.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace curranthoist::platform {
+
+// A field's name in the operators' documents.
+std::string document_name(deployment::configuration_field field);
+
+// Warnings about a document that was decoded to `decoded`: those of
+// deployment::check_configuration() with the places of the document, and services that
+// are listed twice, of which only the last entry counts.
+base::findings review_configuration(std::string_view document,
+                                    const deployment::configuration& decoded);
+
+} // namespace curranthoist::platform
