Document curranthoist-ctl check; state the reasons in its warnings

The texts for a small burst and for timeouts of 0 named effects that the code does not have; they now say what the accounts and the connection limits do. Places of other routes are written as in findings, and shards that only one side has are marked as such.

--- a/curranthoist/deployment/configuration_check.cpp
+++ b/curranthoist/deployment/configuration_check.cpp
@@ -89,8 +89,8 @@
             add(field::name, "is empty");
         }
         else if (!first) {
-            add(field::name, "is also that of route " + std::to_string(named->second) +
-                                 " of the list");
+            add(field::name,
+                "is also that of routes[" + std::to_string(named->second) + "]");
         }
         if (one.host.empty() || one.host.front() == ':') {
             add(field::host, "is empty, so only requests without a host match");
@@ -119,10 +119,10 @@
             add(field::entry, "no request matches this route");
         }
         else if (index_in(table_, found) != index) {
-            add(field::entry, "is hidden by route " +
+            add(field::entry, "is hidden by routes[" +
                                   std::to_string(index_in(table_, found)) +
-                                  " of the list: their hosts are the same without port "
-                                  "and case, and so are their prefixes");
+                                  "]: their hosts are the same without port and case, "
+                                  "and so are their prefixes");
         }
     }
     void check_times(const route& one)
@@ -215,8 +215,8 @@
                 "are none, so no request belongs to team '" + one.name + "'");
         }
         if (one.is_limited() && one.burst < 1.0) {
-            add(field::burst, "is below one request, so no request of a limited team is "
-                              "admitted");
+            add(field::burst,
+                "is below one request, so a team that was quiet saves up none");
         }
         if (!one.is_limited() && one.burst > 0) {
             add(field::burst, "has no effect, since the rate is 0 and so not limited");
@@ -244,13 +244,15 @@
                                            "413");
         }
         if (limits.header_timeout <= base::duration()) {
-            add(field::header_timeout, "is 0, so heads have no time to arrive");
+            add(field::header_timeout, "is 0, a time in which no head arrives");
         }
         if (limits.idle_timeout <= base::duration()) {
-            add(field::idle_timeout, "is 0, so no connection is used again");
+            add(field::idle_timeout,
+                "is 0, so a body that has not arrived whole is refused");
         }
         if (limits.header_timeout > limits.idle_timeout) {
-            add(field::header_timeout, "is above the idle timeout");
+            add(field::header_timeout, "is above the idle timeout, so a head may take "
+                                       "longer than a connection may be silent");
         }
     }
 
--- a/curranthoist/deployment/configuration_diff.cpp
+++ b/curranthoist/deployment/configuration_diff.cpp
@@ -63,7 +63,7 @@
         }
     }
     return std::to_string(own.size()) + " shards" +
-           (only_here.empty() ? "" : " with " + only_here);
+           (only_here.empty() ? "" : " (only here: " + only_here + ")");
 }
 
 // Collects the fields of one entry that differ.
--- a/curranthoist/deployment/configuration_diff_test.cpp
+++ b/curranthoist/deployment/configuration_diff_test.cpp
@@ -93,8 +93,8 @@
     auto changes = compare_configurations(before, after);
     ASSERT_EQ(changes.size(), 1U);
     EXPECT_EQ(changes[0].fields,
-              (std::vector<field_change>{
-                  {field::shards, "2 shards with b", "3 shards with c, d"}}));
+              (std::vector<field_change>{{field::shards, "2 shards (only here: b)",
+                                          "3 shards (only here: c, d)"}}));
     after.routes[0].shards = {base::service_id("b"), base::service_id("a")};
     changes = compare_configurations(before, after);
     ASSERT_EQ(changes.size(), 1U);
