curranthoist-ctl check: warn of destinations that are passed over

A route that names shards, a split and a service at once goes to the first of these; the others were ignored without a word.

--- a/curranthoist/platform/configuration_review.cpp
+++ b/curranthoist/platform/configuration_review.cpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <map>
+#include <utility>
 
 namespace curranthoist::platform {
 
@@ -55,6 +56,30 @@
     return "";
 }
 
+// Finds routes that name their destination in more than one way; the decoder takes the
+// first of these fields and ignores the others.
+void review_destinations(const nlohmann::json& body, base::findings& result)
+{
+    std::size_t index = 0;
+    for (const nlohmann::json& route : body.at("routes")) {
+        std::string used;
+        for (const char* const name : {"shard_services", "traffic_split", "service"}) {
+            const auto field = route.find(name);
+            if (field == route.end() || field->is_null()) {
+                continue;
+            }
+            if (used.empty()) {
+                used = name;
+            }
+            else {
+                result.add(in_list("routes", index) + "." + name,
+                           "has no effect beside " + used);
+            }
+        }
+        ++index;
+    }
+}
+
 } // namespace
 
 std::string document_name(configuration_field field)
@@ -136,10 +161,13 @@
         }
         ++index;
     }
+    review_destinations(body, result);
     for (const configuration_remark& remark : deployment::check_configuration(decoded)) {
-        const std::string entry = entry_place(remark, service_places);
-        const std::string field = field_place(remark);
-        result.add(field.empty() ? entry : entry + "." + field, remark.text);
+        std::string place = entry_place(remark, service_places);
+        if (const std::string field = field_place(remark); !field.empty()) {
+            place += "." + field;
+        }
+        result.add(std::move(place), remark.text);
     }
     return result;
 }
--- a/curranthoist/platform/configuration_review.hpp
+++ b/curranthoist/platform/configuration_review.hpp
@@ -13,8 +13,9 @@
 std::string document_name(deployment::configuration_field field);
 
 // Warnings about a document that was decoded to `decoded`: those of
-// deployment::check_configuration() with the places of the document, and services that
-// are listed twice, of which only the last entry counts.
+// deployment::check_configuration() with the places of the document, and entries that the
+// decoder passes over: all but the last of a service that is listed twice, and all but
+// one way to name a route's destination.
 base::findings review_configuration(std::string_view document,
                                     const deployment::configuration& decoded);
 
--- a/curranthoist/platform/configuration_review_test.cpp
+++ b/curranthoist/platform/configuration_review_test.cpp
@@ -56,5 +56,17 @@
               (std::vector<std::string>{"services[0]", "services[1].max_connections"}));
 }
 
+// Guards against a route whose requests go elsewhere than one of its fields says.
+TEST(configuration_review_test, a_destination_that_is_passed_over_is_told)
+{
+    const std::string document = R"({"version": 3, "services":
+        [{"name": "a", "max_connections": 9}, {"name": "b", "max_connections": 9}],
+        "routes": [{"name": "r", "host": "h", "path_prefix": "/a/", "route_kind": "safe",
+                    "timeout_ms": 100, "service": "b", "traffic_split": null,
+                    "shard_services": ["a"], "top_k": 5}]})";
+    EXPECT_EQ(places_in(document),
+              (std::vector<std::string>{"routes[0].service", "services[1]"}));
+}
+
 } // namespace
 } // namespace curranthoist::platform
