Refuse ranks of a configuration that don't fit into their type

Found by reading while the check of configurations was written; configuration_document_test.ranks_beyond_their_type_are_findings failed before. The front takes the bound on bodies from configuration_bounds, which the check uses.

--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/frontd/front_process.hpp"
 
 #include "curranthoist/base/findings_error.hpp"
+#include "curranthoist/deployment/configuration_bounds.hpp"
 #include "curranthoist/forwarding/gather_plan.hpp"
 #include "curranthoist/http/status.hpp"
 #include "curranthoist/platform/configuration_document.hpp"
@@ -50,7 +51,8 @@
 // The part of the process's memory that callers' connections may take.
 constexpr std::size_t caller_memory_divisor = 4;
 // Bodies are kept in memory, so that the operators' limit holds only below this one.
-constexpr std::size_t max_caller_body_bytes = std::size_t{1024} * 1024;
+constexpr std::size_t max_caller_body_bytes =
+    deployment::configuration_bounds().max_body_bytes;
 // The part of the process's memory that the bodies of targets' responses may fill; their
 // buffers may take twice as much.
 constexpr std::size_t response_memory_divisor = 8;
--- a/curranthoist/platform/configuration_document.cpp
+++ b/curranthoist/platform/configuration_document.cpp
@@ -76,6 +76,16 @@
         }
         return field->get<bool>();
     }
+    // A small whole number.
+    unsigned rank(const char* name, unsigned otherwise)
+    {
+        const double value = number(name, otherwise);
+        if (value > std::numeric_limits<unsigned>::max()) {
+            found_.add(at(name), "is too large");
+            return otherwise;
+        }
+        return static_cast<unsigned>(value);
+    }
     std::size_t count(const char* name, std::size_t otherwise)
     {
         return static_cast<std::size_t>(number(name, static_cast<double>(otherwise)));
@@ -194,8 +204,8 @@
             fields.add("timeout_ms", "must be above 0");
         }
         one.objective = fields.milliseconds("target_latency_ms", one.time_limit);
-        one.priority = static_cast<unsigned>(fields.count("priority", 0));
-        one.max_attempts = static_cast<unsigned>(fields.count("max_attempts", 1));
+        one.priority = fields.rank("priority", 0);
+        one.max_attempts = fields.rank("max_attempts", 1);
         one.top_records = fields.count("top_k", 0);
         one.min_share = fields.number("min_shard_share", 1.0);
         one.is_public = fields.flag("public");
@@ -235,7 +245,7 @@
         if (one.name.empty() || !teams_.insert(one.name).second) {
             fields.add("name", "is empty or that of another team");
         }
-        one.priority = static_cast<unsigned>(fields.count("priority", 0));
+        one.priority = fields.rank("priority", 0);
         one.rate = fields.number("rate_per_s", 0);
         one.burst = fields.number("burst", 0);
         if (fields.find("api_keys") != nullptr) {
--- a/curranthoist/platform/configuration_document_test.cpp
+++ b/curranthoist/platform/configuration_document_test.cpp
@@ -118,6 +118,19 @@
     EXPECT_NE(found.find("routes[1].path_prefix"), std::string::npos);
 }
 
+// Guards against a number that is cut to the size of its type: 2 to the power of 32 was
+// read as the highest priority.
+TEST(configuration_document_test, ranks_beyond_their_type_are_findings)
+{
+    for (const char* const field : {"priority", "max_attempts"}) {
+        const std::string text =
+            document(R"({"name":"r","host":"h","path_prefix":"/a/","route_kind":"safe",)"
+                     R"("timeout_ms":300,"service":"s",")" +
+                     std::string(field) + R"(":4294967296})");
+        EXPECT_NE(findings_of(text).find(field), std::string::npos) << field;
+    }
+}
+
 std::string with_teams(const std::string& teams)
 {
     const std::string text = document(route(R"("service":"s","public":true)"));
