Refuse what was never sent instead of answering 504

A request whose only call still waited for a connection at its deadline, or whose connection was still being made, got 504, because every open call counted as one that may have run. A 504 promises nothing, so that a caller can't repeat what may run once.

The calls are now taken back first: target_client::withdraw() ends a call only if no byte of it was sent, and says so. request_attempts::settled_outcome() turns a failure into a refusal if nothing may have run after that. Calls that a gatherer has stay uncertain until it reports them as not run. A connection that is being made is kept for the next call.

--- a/curranthoist/forwarding/request_attempts.cpp
+++ b/curranthoist/forwarding/request_attempts.cpp
@@ -298,20 +298,40 @@
     }
 }
 
+bool request_attempts::may_have_run() const
+{
+    return std::any_of(shards_.begin(), shards_.end(), [](const shard_state& shard) {
+        return std::any_of(shard.attempts.begin(), shard.attempts.end(),
+                           [](const attempt_state& attempt) {
+                               return attempt.open || !certainly_not_run(attempt.kind);
+                           });
+    });
+}
+
+void request_attempts::on_cancelled_unsent(call_id call)
+{
+    attempt_state& attempt = attempt_of(call);
+    if (!attempt.open && attempt.kind == response_kind::cancelled) {
+        attempt.kind = response_kind::withdrawn;
+    }
+}
+
+final_outcome request_attempts::settled_outcome(final_outcome outcome) const
+{
+    const bool is_failure =
+        outcome == final_outcome::failed || outcome == final_outcome::timed_out;
+    return is_failure && !may_have_run() ? final_outcome::refused : outcome;
+}
+
 final_outcome request_attempts::failure_outcome(bool deadline_passed) const
 {
-    bool may_have_run = false;
     bool target_failed = false;
     for (const shard_state& shard : shards_) {
-        for (const attempt_state& attempt : shard.attempts) {
-            may_have_run =
-                may_have_run || attempt.open || !certainly_not_run(attempt.kind);
-        }
         const bool last_failed = !shard.attempts.empty() && !shard.attempts.back().open &&
                                  shard.attempts.back().kind == response_kind::failure;
         target_failed = target_failed || last_failed;
     }
-    if (!may_have_run) {
+    if (!may_have_run()) {
         return final_outcome::refused;
     }
     if (deadline_passed) {
--- a/curranthoist/forwarding/request_attempts.hpp
+++ b/curranthoist/forwarding/request_attempts.hpp
@@ -62,6 +62,11 @@
     // now.
     std::vector<request_action> on_late(call_id call, base::instant now);
     std::vector<request_action> on_time(base::instant now);
+    // Records that a cancelled call ended before a byte of it was sent.
+    void on_cancelled_unsent(call_id call);
+    // Returns the outcome for the caller once all cancel_actions before the finish_action
+    // have been carried out: a failure becomes a refusal if nothing was sent to a target.
+    [[nodiscard]] final_outcome settled_outcome(final_outcome outcome) const;
     // Cancels every open call without a response, because the caller has disconnected.
     std::vector<request_action> abandon();
 
@@ -117,6 +122,8 @@
     static void cancel_open_attempts(shard_state& shard,
                                      std::vector<request_action>& actions);
     [[nodiscard]] final_outcome failure_outcome(bool deadline_passed) const;
+    // True if a target may have run the request or may still run it.
+    [[nodiscard]] bool may_have_run() const;
     [[nodiscard]] std::size_t required_shard_count() const;
     [[nodiscard]] bool may_hedge(const shard_state& shard) const;
     // True if a gatherer has the shard and has not reported.
--- a/curranthoist/forwarding/request_attempts_test.cpp
+++ b/curranthoist/forwarding/request_attempts_test.cpp
@@ -125,6 +125,34 @@
     EXPECT_EQ(finish_->outcome, final_outcome::refused);
 }
 
+// Guards against a 504, which promises nothing, for a request that waited for a
+// connection until its deadline: nothing was sent, so that the caller may come back.
+TEST_F(request_attempts_test, a_request_that_was_never_sent_is_refused_at_its_deadline)
+{
+    begin(1, repeat_rule::at_most_once);
+    advance(800);
+    ASSERT_TRUE(finish_);
+    ASSERT_EQ(cancelled_, std::vector<call_id>{1});
+    attempts_->on_cancelled_unsent(1);
+    EXPECT_EQ(attempts_->settled_outcome(finish_->outcome), final_outcome::refused);
+}
+
+// Guards against a false promise: one shard's call was sent, or a gatherer may have sent
+// its call.
+TEST_F(request_attempts_test, a_request_of_which_one_call_may_have_run_is_not_refused)
+{
+    begin(3, repeat_rule::at_most_once, 1.0, {{base::vm_id("g"), {0}}});
+    respond(sends_[0].call, response_kind::not_run);
+    advance(800);
+    ASSERT_TRUE(finish_);
+    for (const send_action& send : sends_) {
+        attempts_->on_cancelled_unsent(send.call);
+    }
+    EXPECT_EQ(attempts_->settled_outcome(finish_->outcome), final_outcome::timed_out);
+    attempts_->on_cancelled_unsent(gathers_.at(0).calls.at(0));
+    EXPECT_EQ(attempts_->settled_outcome(finish_->outcome), final_outcome::refused);
+}
+
 // A hedge would run a second time a request that may run only once.
 TEST_F(request_attempts_test, an_at_most_once_request_is_never_hedged)
 {
--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -414,6 +414,10 @@
     context_.directory.on_answer(sent.target, forwarding::response_kind::cancelled,
                                  now - sent.sent, latency_.usual(), now);
     if (http::target_client* client = context_.pool.find(sent.target)) {
+        if (client->withdraw(sent.number)) {
+            run_->on_cancelled_unsent(action.call);
+            return;
+        }
         // Where requests are frequent, the target's slot is worth more than the
         // connection.
         const bool keep_connection = !caller_gone_ && context_.directory.is_rarely_used(
@@ -498,8 +502,10 @@
 {
     using forwarding::final_outcome;
     namespace status = http::status;
+    // The calls that had not been sent are known only after their cancellation.
+    const final_outcome outcome = run_->settled_outcome(action.outcome);
     http::caller_response response;
-    switch (action.outcome) {
+    switch (outcome) {
     case final_outcome::complete:
     case final_outcome::partial:
         context_.returns.on_served(run_->service_of(0), clock_.now());
@@ -534,7 +540,7 @@
     }
     const unsigned code = response.status;
     answer_.respond(std::move(response));
-    end(forwarding::outcome_name(action.outcome), code, action.missing);
+    end(forwarding::outcome_name(outcome), code, action.missing);
 }
 
 std::string caller_task::shortages() const
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -122,6 +122,23 @@
     connection->abandoned = std::move(current);
 }
 
+bool target_client::withdraw(call_number number)
+{
+    const auto found = calls_.find(number);
+    if (found == calls_.end() || found->second->result.request_may_have_left) {
+        return false;
+    }
+    target_connection* const connection = found->second->connection;
+    if (connection != nullptr && !connection->connected &&
+        !found->second->call.fresh_connection) {
+        // The connection that is being made serves the next call instead.
+        connection->call = nullptr;
+        found->second->connection = nullptr;
+    }
+    end_call(number, call_outcome::withdrawn);
+    return true;
+}
+
 void target_client::withdraw_unsent()
 {
     std::vector<call_number> unsent;
--- a/curranthoist/http/target_client.hpp
+++ b/curranthoist/http/target_client.hpp
@@ -74,6 +74,9 @@
     // new one costs more than a late response. A target that is at work goes on with it.
     void abandon(call_number number);
 
+    // Ends a call of which no byte has left, with the outcome `withdrawn`, and returns
+    // true: nothing of it will be sent. Otherwise does nothing.
+    bool withdraw(call_number number);
     // Ends the calls of which no byte has left, with the outcome `withdrawn`.
     void withdraw_unsent();
 
--- a/curranthoist/http/target_client_test.cpp
+++ b/curranthoist/http/target_client_test.cpp
@@ -543,6 +543,30 @@
     EXPECT_EQ(server_.connections, 1);
 }
 
+// Guards against "not sent" for a call that was sent, and against a call that is sent
+// after it was taken back. A call that waits behind it uses the new connection.
+TEST_F(target_client_test, a_call_is_withdrawn_only_before_it_is_sent)
+{
+    connect(1);
+    const auto first = start({});
+    start({});
+    EXPECT_TRUE(client_->withdraw(first));
+    EXPECT_FALSE(client_->withdraw(first));
+    int peer = -1;
+    server_.on_request = [&peer](int descriptor) { peer = descriptor; };
+    ASSERT_TRUE(run_until(loop_, [&] { return peer >= 0; }));
+    const auto waiting = start({});
+    EXPECT_FALSE(client_->withdraw(waiting - 1));
+    EXPECT_TRUE(client_->withdraw(waiting));
+    raw_server::write(peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    ASSERT_TRUE(finish(3));
+    EXPECT_EQ(results_[0].outcome, call_outcome::withdrawn);
+    EXPECT_EQ(results_[1].outcome, call_outcome::withdrawn);
+    EXPECT_EQ(results_[2].outcome, call_outcome::ok);
+    EXPECT_EQ(server_.request_lines, 1);
+    EXPECT_EQ(server_.connections, 1);
+}
+
 // Guards against a late copy of a rejected health request's answer, which names no
 // request, that is taken for the answer to the next one.
 TEST_F(target_client_test, a_connection_is_not_used_behind_a_rejection_without_a_name)
