Give the calls of two clients different numbers

When a target is listed anew under its id, its pool has a new client whose calls were numbered from 1 again. A request that cancelled a call of the client before could end a call of the new one, and take that one's 'not sent' for its own: a refusal that isn't true.

The pool gives each client a range of numbers. frontd_test: target_pool_test passes.

--- a/curranthoist/frontd/target_pool.cpp
+++ b/curranthoist/frontd/target_pool.cpp
@@ -1,9 +1,18 @@
 #include "curranthoist/frontd/target_pool.hpp"
 
+#include <cstdint>
 #include <utility>
 
 namespace curranthoist::frontd {
 
+namespace {
+
+// A call's number must not name a call of the client that follows under the same id:
+// that one would be cancelled, or taken for this one and reported as not sent.
+constexpr http::target_client::call_number numbers_per_client = std::uint64_t{1} << 40U;
+
+} // namespace
+
 http::target_client& target_pool::client(const base::target_id& id,
                                          const base::endpoint& address,
                                          std::size_t max_connections)
@@ -14,6 +23,7 @@
     }
     if (!found) {
         found = std::make_unique<http::target_client>(loop_, address, max_connections);
+        found->number_calls_above(++made_clients_ * numbers_per_client);
         found->limit_memory(memory_);
         found->limit_sockets(sockets_);
         found->set_socket_handler(
--- a/curranthoist/frontd/target_pool.hpp
+++ b/curranthoist/frontd/target_pool.hpp
@@ -85,6 +85,8 @@
     connection_handler on_connections_;
     std::map<base::target_id, std::unique_ptr<http::target_client>> clients_;
     std::vector<std::unique_ptr<http::target_client>> retired_;
+    // Clients that were made so far.
+    std::uint64_t made_clients_ = 0;
 };
 
 } // namespace curranthoist::frontd
--- a/curranthoist/http/target_client.hpp
+++ b/curranthoist/http/target_client.hpp
@@ -82,6 +82,10 @@
 
     void set_socket_handler(socket_handler handler) { on_socket_ = std::move(handler); }
 
+    // Numbers the calls that are started from now on above `last`, so that the numbers of
+    // two clients differ.
+    void number_calls_above(call_number last) { last_call_ = last; }
+
     // Counts the bodies of responses within a limit that other clients share.
     void limit_memory(std::shared_ptr<memory_account> memory)
     {
