Refuse at once what can't be served in its time any more

A request waited for a connection until its hard deadline, and was sent with any time that was left. Under a load of three times the room, targets then worked for callers that had gone, and the others got their answer only at the deadline.

From the hard deadline minus the median of the route's answers (a quarter of the objective at most, so that there are always new samples) nothing is sent any more: new requests and retries are refused, and calls that wait are taken back by recall_action. A call that was sent goes on.

--- a/curranthoist/forwarding/request_action.hpp
+++ b/curranthoist/forwarding/request_action.hpp
@@ -37,6 +37,13 @@
     call_id call = 0;
 };
 
+// Takes back a call if no byte of it has been sent, because no target can serve it in the
+// time that is left. It ends as withdrawn; a call that was sent goes on.
+struct recall_action
+{
+    call_id call = 0;
+};
+
 // Outcome of a request as its caller sees it.
 enum class final_outcome : std::uint8_t
 {
@@ -83,6 +90,6 @@
 };
 
 using request_action =
-    std::variant<send_action, gather_action, cancel_action, finish_action>;
+    std::variant<send_action, gather_action, cancel_action, recall_action, finish_action>;
 
 } // namespace curranthoist::forwarding
--- a/curranthoist/forwarding/request_attempts.cpp
+++ b/curranthoist/forwarding/request_attempts.cpp
@@ -78,6 +78,9 @@
 bool request_attempts::send(std::size_t shard_index, const char* reason,
                             base::instant now, std::vector<request_action>& actions)
 {
+    if (now >= send_deadline()) {
+        return false;
+    }
     shard_state& shard = shards_[shard_index];
     std::vector<base::target_id> tried_targets;
     tried_targets.reserve(shard.attempts.size());
@@ -160,7 +163,9 @@
 std::vector<request_action> request_attempts::start(base::instant now)
 {
     std::vector<request_action> actions;
-    start_groups(now, actions);
+    if (now < send_deadline()) {
+        start_groups(now, actions);
+    }
     for (std::size_t i = 0; i < shards_.size(); ++i) {
         if (!shards_[i].attempts.empty()) {
             continue;
@@ -270,7 +275,8 @@
         return actions;
     }
     soft_deadline_passed_ = now >= timing_.soft_deadline;
-    if (now < timing_.hard_deadline) {
+    recall_if_due(now, actions);
+    if (now < send_deadline()) {
         for (std::size_t i = 0; i < shards_.size(); ++i) {
             hedge_if_due(i, now, actions);
         }
@@ -279,6 +285,31 @@
     return actions;
 }
 
+base::instant request_attempts::send_deadline() const
+{
+    return timing_.hard_deadline - timing_.least_answer_time;
+}
+
+void request_attempts::recall_if_due(base::instant now,
+                                     std::vector<request_action>& actions)
+{
+    if (recalled_ || now < send_deadline()) {
+        return;
+    }
+    recalled_ = true;
+    if (now >= timing_.hard_deadline) {
+        // The request ends now, which cancels its calls.
+        return;
+    }
+    for (const shard_state& shard : shards_) {
+        for (const attempt_state& attempt : shard.attempts) {
+            if (attempt.open && !attempt.target.empty()) {
+                actions.emplace_back(recall_action{attempt.call});
+            }
+        }
+    }
+}
+
 void request_attempts::finish_if_decided(base::instant now,
                                          std::vector<request_action>& actions)
 {
@@ -386,12 +417,15 @@
 base::instant request_attempts::next_deadline() const
 {
     base::instant next = timing_.hard_deadline;
+    if (!recalled_) {
+        next = std::min(next, send_deadline());
+    }
     // After the soft deadline only a response can finish the request, not the clock.
     if (route_.gathers() && !soft_deadline_passed_) {
         next = std::min(next, timing_.soft_deadline);
     }
     for (const shard_state& shard : shards_) {
-        if (may_hedge(shard)) {
+        if (may_hedge(shard) && shard.hedge_at < send_deadline()) {
             next = std::min(next, shard.hedge_at);
         }
     }
--- a/curranthoist/forwarding/request_attempts.hpp
+++ b/curranthoist/forwarding/request_attempts.hpp
@@ -29,6 +29,9 @@
     // Time without a report after which the shards of a gatherer are sent to targets by
     // this VM too.
     base::duration report_limit;
+    // What an answer takes at least. With less than this before the hard deadline,
+    // nothing is sent any more; 0 if it is not known.
+    base::duration least_answer_time;
 };
 
 // Decides how one caller's request proceeds: which target gets it, when it is sent again,
@@ -124,6 +127,10 @@
     [[nodiscard]] final_outcome failure_outcome(bool deadline_passed) const;
     // True if a target may have run the request or may still run it.
     [[nodiscard]] bool may_have_run() const;
+    // Takes back the calls that wait for a connection, once nothing may be sent any more.
+    void recall_if_due(base::instant now, std::vector<request_action>& actions);
+    // From this time on nothing is sent any more.
+    [[nodiscard]] base::instant send_deadline() const;
     [[nodiscard]] std::size_t required_shard_count() const;
     [[nodiscard]] bool may_hedge(const shard_state& shard) const;
     // True if a gatherer has the shard and has not reported.
@@ -144,6 +151,7 @@
     std::size_t answered_shards_ = 0;
     std::size_t open_shards_ = 0;
     bool soft_deadline_passed_ = false;
+    bool recalled_ = false;
     bool finished_ = false;
 };
 
--- a/curranthoist/forwarding/request_attempts_test.cpp
+++ b/curranthoist/forwarding/request_attempts_test.cpp
@@ -45,7 +45,7 @@
         directory_.apply({.targets = targets, .read_at = now_});
         attempts_.emplace(route_, services,
                           request_timing{now_, now_ + duration(100), now_ + duration(800),
-                                         duration(30), duration(60)},
+                                         duration(30), duration(60), least_answer_time_},
                           directory_, budget_, std::move(groups));
         record(attempts_->start(now_));
     }
@@ -61,6 +61,9 @@
             else if (const auto* cancel = std::get_if<cancel_action>(&action)) {
                 cancelled_.push_back(cancel->call);
             }
+            else if (const auto* recall = std::get_if<recall_action>(&action)) {
+                recalled_.push_back(recall->call);
+            }
             else {
                 EXPECT_FALSE(finish_) << "a request ends only once";
                 finish_ = std::get<finish_action>(action);
@@ -78,6 +81,7 @@
     }
 
     instant now_{1'000'000};
+    duration least_answer_time_{0};
     deployment::route route_;
     target_directory directory_{{base::zone_id("z"), "vm-1", duration(800)}};
     extra_send_budget budget_{{0.2, 100.0, duration(10'000)}};
@@ -85,6 +89,7 @@
     std::vector<send_action> sends_;
     std::vector<gather_action> gathers_;
     std::vector<call_id> cancelled_;
+    std::vector<call_id> recalled_;
     std::optional<finish_action> finish_;
 };
 
@@ -137,6 +142,59 @@
     EXPECT_EQ(attempts_->settled_outcome(finish_->outcome), final_outcome::refused);
 }
 
+// Guards against a caller that waits for its deadline although no target can serve it in
+// the time that is left.
+TEST_F(request_attempts_test, a_request_that_is_too_late_is_refused_at_once)
+{
+    least_answer_time_ = duration(801);
+    begin(1, repeat_rule::at_most_once, 0.89, {{base::vm_id("g"), {0}}});
+    EXPECT_TRUE(sends_.empty());
+    EXPECT_TRUE(gathers_.empty());
+    ASSERT_TRUE(finish_);
+    EXPECT_EQ(finish_->outcome, final_outcome::refused);
+}
+
+// Guards against a wait for a connection that lasts until the deadline, and against a
+// send to another target then.
+TEST_F(request_attempts_test, a_waiting_call_is_taken_back_when_it_is_too_late)
+{
+    least_answer_time_ = duration(100);
+    begin(1, repeat_rule::at_most_once);
+    advance(699);
+    EXPECT_TRUE(recalled_.empty());
+    EXPECT_EQ(attempts_->next_deadline(), instant(1'000'700));
+    advance(1);
+    EXPECT_EQ(recalled_, std::vector<call_id>{1});
+    EXPECT_EQ(attempts_->next_deadline(), instant(1'000'800));
+    respond(1, response_kind::withdrawn);
+    EXPECT_EQ(sends_.size(), 1U);
+    ASSERT_TRUE(finish_);
+    EXPECT_EQ(finish_->outcome, final_outcome::refused);
+}
+
+// Guards against a call that is taken back by a recall whose answer comes after the end,
+// so that its cancellation can't tell any more that it was not sent.
+TEST_F(request_attempts_test, a_call_is_not_taken_back_twice_at_the_deadline)
+{
+    least_answer_time_ = duration(100);
+    begin(1, repeat_rule::at_most_once);
+    advance(800);
+    EXPECT_TRUE(recalled_.empty());
+    EXPECT_EQ(cancelled_, std::vector<call_id>{1});
+}
+
+// Guards against a call that was sent in time and is ended early.
+TEST_F(request_attempts_test, a_call_that_was_sent_goes_on_until_the_deadline)
+{
+    least_answer_time_ = duration(100);
+    begin(1, repeat_rule::repeatable);
+    advance(750);
+    EXPECT_FALSE(finish_);
+    respond(1, response_kind::success);
+    ASSERT_TRUE(finish_);
+    EXPECT_EQ(finish_->outcome, final_outcome::complete);
+}
+
 // Guards against a false promise: one shard's call was sent, or a gatherer may have sent
 // its call.
 TEST_F(request_attempts_test, a_request_of_which_one_call_may_have_run_is_not_refused)
--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -85,6 +85,7 @@
         (request_.connection_was_new ? handshake_margin : base::duration());
     result.hard_deadline = hard_limit_;
     result.hedge_delay = latency_.hedge_delay(route_.objective);
+    result.least_answer_time = latency_.least_answer_time(route_.objective);
     result.report_limit = std::max(
         min_report_limit,
         base::duration(static_cast<std::int64_t>(
@@ -175,6 +176,9 @@
         else if (const auto* ended = std::get_if<forwarding::cancel_action>(&action)) {
             cancel(*ended);
         }
+        else if (const auto* late = std::get_if<forwarding::recall_action>(&action)) {
+            recall(*late);
+        }
         else {
             finish(std::get<forwarding::finish_action>(action));
         }
@@ -414,7 +418,7 @@
     context_.directory.on_answer(sent.target, forwarding::response_kind::cancelled,
                                  now - sent.sent, latency_.usual(), now);
     if (http::target_client* client = context_.pool.find(sent.target)) {
-        if (client->withdraw(sent.number)) {
+        if (sent.recalled || client->withdraw(sent.number)) {
             run_->on_cancelled_unsent(action.call);
             return;
         }
@@ -431,6 +435,17 @@
     }
 }
 
+void caller_task::recall(const forwarding::recall_action& action)
+{
+    target_send* const found = sends_.find(action.call);
+    if (found == nullptr || !found->open || found->group) {
+        return;
+    }
+    if (http::target_client* client = context_.pool.find(found->target)) {
+        found->recalled = client->withdraw(found->number);
+    }
+}
+
 void caller_task::on_result(forwarding::call_id call, http::target_result result)
 {
     target_send& sent = sends_.at(call);
--- a/curranthoist/frontd/caller_task.hpp
+++ b/curranthoist/frontd/caller_task.hpp
@@ -67,6 +67,7 @@
     void end_groups();
     void send(const forwarding::send_action& action);
     void cancel(const forwarding::cancel_action& action);
+    void recall(const forwarding::recall_action& action);
     // One line for all sends of these actions that are not the first.
     void log_extra_sends(const std::vector<forwarding::request_action>& actions);
     void finish(const forwarding::finish_action& action);
--- a/curranthoist/frontd/route_latency.hpp
+++ b/curranthoist/frontd/route_latency.hpp
@@ -14,6 +14,12 @@
     void add(base::duration took) { tracker_.add(took); }
     // The usual time: the median, which a few slow targets don't move; 0 without history.
     [[nodiscard]] base::duration usual() const { return tracker_.median(); }
+    // With less time left, an answer in time is unlikely: the median, within a part of
+    // the objective; 0 without history.
+    [[nodiscard]] base::duration least_answer_time(base::duration objective) const
+    {
+        return std::min(tracker_.median(), objective / least_time_divisor);
+    }
     // When a request to another target is worth its cost: after the 95th percentile, and
     // early enough for the second answer to meet the objective.
     [[nodiscard]] base::duration hedge_delay(base::duration objective) const
@@ -26,6 +32,9 @@
 private:
     // Leaves the second target more than half of the objective.
     static constexpr double latest_part_of_objective = 0.4;
+    // Bounds the time, because the median also contains waits for connections, and has no
+    // new samples if every request is refused.
+    static constexpr std::int64_t least_time_divisor = 4;
     // An answer at the percentile itself needs no hedge.
     static constexpr base::duration hedge_margin{3};
     static constexpr base::duration least_hedge{10};
--- a/curranthoist/frontd/target_send.hpp
+++ b/curranthoist/frontd/target_send.hpp
@@ -18,6 +18,8 @@
     http::target_client::call_number number = 0;
     base::instant sent;
     bool open = true;
+    // Taken back before a byte of it was sent; its result may still be to come.
+    bool recalled = false;
     std::optional<platform::target_response> response;
     // The gatherer that chooses the target, as the index of its group, and the index of
     // the report that holds the part.
