End a query when the parts still out are not worth the wait

A query with its least share of shards waited for all others until 14 ms before its objective. It mostly waited for paused targets, and its answer then missed the objective as soon as this process was busy.

query_end ends it when the expected gain of the shards that are out is below a hundredth of the answer. The chance of each comes from part_latencies, a Kaplan-Meier estimate in which parts that are no longer waited for count as out at their age; with too few samples, or while a gatherer's report is not overdue, a part is expected. send_margin replaces the constant by what recent answers of this process took to leave: 14 ms at least, a third of the objective at most. Requests to one service are not affected.

--- a/curranthoist/forwarding/request_attempts.cpp
+++ b/curranthoist/forwarding/request_attempts.cpp
@@ -1,6 +1,8 @@
 #include "curranthoist/forwarding/request_attempts.hpp"
 
 #include "curranthoist/forwarding/extra_send_budget.hpp"
+#include "curranthoist/forwarding/part_latencies.hpp"
+#include "curranthoist/forwarding/query_end.hpp"
 #include "curranthoist/forwarding/target_directory.hpp"
 
 #include <algorithm>
@@ -18,6 +20,8 @@
 constexpr std::size_t max_sends_per_shard = 6;
 // Delay before a hedge is tried again that found no target or no budget.
 constexpr base::duration hedge_retry_delay{20};
+// Time between two decisions on the end of a query that has enough shards.
+constexpr base::duration end_check_interval{4};
 // Maximum share of the shards of a request that are hedged. Faults affect a sixth of the
 // targets; if far more responses are late, this VM is slow itself, and hedges would slow
 // it further.
@@ -27,17 +31,16 @@
 
 } // namespace
 
-request_attempts::request_attempts(const deployment::route& route,
-                                   std::vector<base::service_id> services,
-                                   request_timing timing,
-                                   const target_directory& directory,
-                                   extra_send_budget& budget,
-                                   std::vector<gather_group> groups)
+request_attempts::request_attempts(
+    const deployment::route& route, std::vector<base::service_id> services,
+    request_timing timing, const target_directory& directory, extra_send_budget& budget,
+    std::vector<gather_group> groups, const part_latencies* latencies)
     : route_(route)
     , timing_(timing)
     , directory_(directory)
     , budget_(budget)
     , groups_(std::move(groups))
+    , latencies_(latencies)
 {
     shards_.reserve(services.size());
     for (base::service_id& service : services) {
@@ -182,6 +185,7 @@
 void request_attempts::on_sent(call_id call, base::instant now)
 {
     shards_[shard_index_of_call_.at(call - 1)].hedge_at = now + timing_.hedge_delay;
+    attempt_of(call).sent_at = now;
 }
 
 std::vector<request_action> request_attempts::on_answer(call_id call, response_kind kind,
@@ -317,16 +321,58 @@
         return;
     }
     const bool deadline_passed = now >= timing_.hard_deadline;
+    next_end_check_ = base::instant::max();
     if (answered_shards_ == shards_.size()) {
         finish(final_outcome::complete, actions);
     }
     else if (answered_shards_ >= required_shards_ &&
-             (open_shards_ == 0 || deadline_passed || now >= timing_.soft_deadline)) {
+             (open_shards_ == 0 || deadline_passed || now >= timing_.soft_deadline ||
+              ends_early(now))) {
         finish(final_outcome::partial, actions);
     }
     else if (answered_shards_ + open_shards_ < required_shards_ || deadline_passed) {
         finish(failure_outcome(deadline_passed && open_shards_ > 0), actions);
     }
+    else if (latencies_ != nullptr && route_.gathers() &&
+             answered_shards_ >= required_shards_) {
+        next_end_check_ = now + end_check_interval;
+    }
+}
+
+double request_attempts::chance_of(const shard_state& shard, base::instant now) const
+{
+    double misses = 1;
+    for (const attempt_state& attempt : shard.attempts) {
+        if (!attempt.open) {
+            continue;
+        }
+        if (attempt.target.empty() && now < attempt.sent_at + timing_.report_limit) {
+            // The parts of a gatherer come with its report.
+            return 1;
+        }
+        misses *=
+            1 - latencies_->chance(now - attempt.sent_at, timing_.soft_deadline - now);
+    }
+    if (may_hedge(shard)) {
+        misses *=
+            1 - latencies_->chance(base::duration(),
+                                   timing_.soft_deadline - std::max(now, shard.hedge_at));
+    }
+    return 1 - misses;
+}
+
+bool request_attempts::ends_early(base::instant now) const
+{
+    if (latencies_ == nullptr || !route_.gathers()) {
+        return false;
+    }
+    query_end decision(answered_shards_);
+    for (const shard_state& shard : shards_) {
+        if (shard.is_open()) {
+            decision.add_shard(chance_of(shard, now));
+        }
+    }
+    return decision.ends_now();
 }
 
 bool request_attempts::may_have_run() const
@@ -416,7 +462,7 @@
 
 base::instant request_attempts::next_deadline() const
 {
-    base::instant next = timing_.hard_deadline;
+    base::instant next = std::min(timing_.hard_deadline, next_end_check_);
     if (!recalled_) {
         next = std::min(next, send_deadline());
     }
--- a/curranthoist/forwarding/request_attempts.hpp
+++ b/curranthoist/forwarding/request_attempts.hpp
@@ -13,6 +13,7 @@
 namespace curranthoist::forwarding {
 
 class extra_send_budget;
+class part_latencies;
 class target_directory;
 
 // Points in time that govern one request.
@@ -44,14 +45,16 @@
 //     perform(run.on_answer(call, kind, now));
 //     perform(run.on_time(now));              // at run.next_deadline()
 //
-// The route, the directory and the budget must outlive the object.
+// The route, the directory, the budget and the latencies must outlive the object. With
+// latencies, a query may end before its soft deadline.
 class request_attempts
 {
 public:
     request_attempts(const deployment::route& route,
                      std::vector<base::service_id> services, request_timing timing,
                      const target_directory& directory, extra_send_budget& budget,
-                     std::vector<gather_group> groups = {});
+                     std::vector<gather_group> groups = {},
+                     const part_latencies* latencies = nullptr);
 
     std::vector<request_action> start(base::instant now);
     // Records that the call of a send_action was sent. The hedge delay counts from here,
@@ -75,8 +78,11 @@
 
     [[nodiscard]] bool finished() const { return finished_; }
     // Returns the time at which on_time() must be called. A response that causes no
-    // action never makes this time earlier.
+    // action makes this time earlier only by next_end_check().
     [[nodiscard]] base::instant next_deadline() const;
+    // Returns the time at which a query that has enough shards may end; max() without
+    // one.
+    [[nodiscard]] base::instant next_end_check() const { return next_end_check_; }
     // Returns the number of shards of a query, or 1 for a request to one service.
     [[nodiscard]] std::size_t shard_count() const { return shards_.size(); }
     [[nodiscard]] const base::service_id& service_of(std::size_t shard) const
@@ -120,6 +126,9 @@
     void hedge_if_due(std::size_t shard_index, base::instant now,
                       std::vector<request_action>& actions);
     void mark_failed(shard_state& shard);
+    // True if the shards that are still out are not worth the wait.
+    [[nodiscard]] bool ends_early(base::instant now) const;
+    [[nodiscard]] double chance_of(const shard_state& shard, base::instant now) const;
     void finish_if_decided(base::instant now, std::vector<request_action>& actions);
     void finish(final_outcome outcome, std::vector<request_action>& actions);
     static void cancel_open_attempts(shard_state& shard,
@@ -141,6 +150,8 @@
     const target_directory& directory_;
     extra_send_budget& budget_;
     std::vector<gather_group> groups_;
+    // Null if queries end at the soft deadline only.
+    const part_latencies* latencies_;
     std::vector<shard_state> shards_;
     // Shard index of each call. Calls are numbered from 1.
     std::vector<std::size_t> shard_index_of_call_;
@@ -152,6 +163,7 @@
     std::size_t open_shards_ = 0;
     bool soft_deadline_passed_ = false;
     bool recalled_ = false;
+    base::instant next_end_check_ = base::instant::max();
     bool finished_ = false;
 };
 
--- a/curranthoist/forwarding/request_attempts_test.cpp
+++ b/curranthoist/forwarding/request_attempts_test.cpp
@@ -1,4 +1,5 @@
 #include "curranthoist/forwarding/extra_send_budget.hpp"
+#include "curranthoist/forwarding/part_latencies.hpp"
 #include "curranthoist/forwarding/request_attempts.hpp"
 #include "curranthoist/forwarding/target_directory.hpp"
 
@@ -46,7 +47,7 @@
         attempts_.emplace(route_, services,
                           request_timing{now_, now_ + duration(100), now_ + duration(800),
                                          duration(30), duration(60), least_answer_time_},
-                          directory_, budget_, std::move(groups));
+                          directory_, budget_, std::move(groups), latencies_);
         record(attempts_->start(now_));
     }
     void record(const std::vector<request_action>& actions)
@@ -82,6 +83,7 @@
 
     instant now_{1'000'000};
     duration least_answer_time_{0};
+    const part_latencies* latencies_ = nullptr;
     deployment::route route_;
     target_directory directory_{{base::zone_id("z"), "vm-1", duration(800)}};
     extra_send_budget budget_{{0.2, 100.0, duration(10'000)}};
@@ -142,6 +144,32 @@
     EXPECT_EQ(attempts_->settled_outcome(finish_->outcome), final_outcome::refused);
 }
 
+// Guards against a query that ends without the parts that a gatherer is about to report,
+// and against one that still waits for them when the report is overdue: by the
+// distribution no part comes after 20 ms.
+TEST_F(request_attempts_test, a_query_awaits_a_gatherers_report_until_it_is_overdue)
+{
+    constexpr int samples = 640;
+    part_latencies latencies;
+    for (int i = 0; i < samples; ++i) {
+        latencies.add(duration(10));
+        latencies.add_unfinished(duration(100));
+    }
+    latencies_ = &latencies;
+    // Without a second send the gatherer's call is the only one.
+    begin(4, repeat_rule::at_most_once, 0.75, {{base::vm_id("g"), {0}}});
+    EXPECT_EQ(attempts_->next_end_check(), instant::max());
+    for (const send_action& send : std::vector<send_action>(sends_)) {
+        respond(send.call, response_kind::success);
+    }
+    EXPECT_LT(attempts_->next_end_check(), now_ + duration(10));
+    advance(59);
+    EXPECT_FALSE(finish_);
+    advance(1);
+    ASSERT_TRUE(finish_);
+    EXPECT_EQ(finish_->outcome, final_outcome::partial);
+}
+
 // Guards against a caller that waits for its deadline although no target can serve it in
 // the time that is left.
 TEST_F(request_attempts_test, a_request_that_is_too_late_is_refused_at_once)
--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -20,10 +20,8 @@
 // From this process's answer to the caller's receipt, and the time that a busy process
 // needs to get to the answer.
 constexpr base::duration answer_margin = 20_ms;
-// A partial response leaves this long before the objective: the way to the caller and
-// back, and the merge.
-constexpr base::duration soft_margin = 14_ms;
-// The same for a caller that made a connection first: the way there and back.
+// Added to the margin of a partial response for a caller that made a connection first:
+// the way there and back.
 constexpr base::duration handshake_margin = 6_ms;
 // A gatherer reports after the 95th percentile, at 0.4 of the objective at the latest.
 // One that has not reported at this part of the objective is lost or overloaded.
@@ -81,7 +79,7 @@
     forwarding::request_timing result;
     result.arrived = now;
     result.soft_deadline =
-        now + route_.objective - soft_margin -
+        now + route_.objective - latency_.margin().margin(route_.objective) -
         (request_.connection_was_new ? handshake_margin : base::duration());
     result.hard_deadline = hard_limit_;
     result.hedge_delay = latency_.hedge_delay(route_.objective);
@@ -109,7 +107,8 @@
                                     context_.directory, context_.own_name, clock_.now());
     }
     run_.emplace(route_, services_of(route_, context_.random), times(arrived_),
-                 context_.directory, context_.budget, std::move(groups));
+                 context_.directory, context_.budget, std::move(groups),
+                 &latency_.parts());
     perform(run_->start(clock_.now()));
 }
 
@@ -183,7 +182,7 @@
             finish(std::get<forwarding::finish_action>(action));
         }
     }
-    if (!actions.empty() || !timer_.is_active()) {
+    if (!actions.empty() || !timer_.is_active() || run_->next_end_check() < scheduled_) {
         schedule();
     }
 }
@@ -422,6 +421,7 @@
             run_->on_cancelled_unsent(action.call);
             return;
         }
+        latency_.add_unfinished(now - sent.sent);
         // Where requests are frequent, the target's slot is worth more than the
         // connection.
         const bool keep_connection = !caller_gone_ && context_.directory.is_rarely_used(
@@ -484,6 +484,7 @@
 
 void caller_task::on_timer(ev::timer& /*watcher*/, int /*events*/)
 {
+    timer_delay_ = std::max(clock_.now() - scheduled_, base::duration());
     note_overdue_groups();
     perform(run_->on_time(clock_.now()));
 }
@@ -494,7 +495,8 @@
     if (ended_ || run_->finished()) {
         return;
     }
-    const base::duration wait = run_->next_deadline() - clock_.now();
+    scheduled_ = run_->next_deadline();
+    const base::duration wait = scheduled_ - clock_.now();
     ev_now_update(context_.loop);
     timer_.start(std::max(wait, 1_ms).seconds());
 }
@@ -517,6 +519,7 @@
 {
     using forwarding::final_outcome;
     namespace status = http::status;
+    const base::instant began = clock_.now();
     // The calls that had not been sent are known only after their cancellation.
     const final_outcome outcome = run_->settled_outcome(action.outcome);
     http::caller_response response;
@@ -555,6 +558,9 @@
     }
     const unsigned code = response.status;
     answer_.respond(std::move(response));
+    if (route_.gathers()) {
+        latency_.margin().add(clock_.now() - began + timer_delay_);
+    }
     end(forwarding::outcome_name(outcome), code, action.missing);
 }
 
--- a/curranthoist/frontd/caller_task.hpp
+++ b/curranthoist/frontd/caller_task.hpp
@@ -99,6 +99,9 @@
     // What a caller whose request has not run was told.
     std::optional<base::duration> told_pause_;
     ev::timer timer_;
+    // When the timer is due, and how late it last was.
+    base::instant scheduled_;
+    base::duration timer_delay_;
     end_handler on_end_;
     bool ended_ = false;
     bool caller_gone_ = false;
--- a/curranthoist/frontd/gather_task.cpp
+++ b/curranthoist/frontd/gather_task.cpp
@@ -236,6 +236,7 @@
         const base::target_id& target = one.tried.back();
         context_.directory.on_answer(target, response_kind::cancelled, now - one.sent_at,
                                      latency_.usual(), now);
+        latency_.add_unfinished(now - one.sent_at);
         if (http::target_client* client = context_.pool.find(target)) {
             // Where requests are frequent, the target's slot is worth more than the
             // connection.
