Report what a gatherer could not send before the query's deadline

A part that waited for a connection on a gatherer was reported as pending and nothing followed before the query's deadline. The process that took the query could not tell it from one that may have run, and answered 504.

--- a/curranthoist/frontd/gather_task.cpp
+++ b/curranthoist/frontd/gather_task.cpp
@@ -84,7 +84,7 @@
     const base::instant now = clock_.now();
     const deployment::listed_target* target =
         context_.directory.choose(one.service, one.tried, now);
-    if (target == nullptr || now >= deadline_) {
+    if (target == nullptr || now >= send_deadline()) {
         return false;
     }
     one.tried.push_back(target->id);
@@ -215,10 +215,36 @@
     on_report_(std::move(message));
 }
 
+base::instant gather_task::send_deadline() const
+{
+    return deadline_ - latency_.least_answer_time(objective_);
+}
+
+void gather_task::withdraw_late()
+{
+    for (const part& one : parts_) {
+        http::target_client* const client =
+            one.open ? context_.pool.find(one.tried.back()) : nullptr;
+        if (client != nullptr) {
+            client->withdraw(one.number);
+        }
+    }
+}
+
+void gather_task::schedule_withdrawal()
+{
+    const base::duration wait = send_deadline() - clock_.now();
+    if (open_parts_ > 0 && wait > base::duration()) {
+        ev_now_update(context_.loop);
+        timer_.start(wait.seconds());
+    }
+}
+
 void gather_task::end_if_done()
 {
     if (open_parts_ == 0 && reported_ && !ended_) {
         ended_ = true;
+        timer_.stop();
         on_end_();
     }
 }
@@ -253,9 +279,12 @@
 
 void gather_task::on_timer(ev::timer& /*watcher*/, int /*events*/)
 {
-    if (!reported_) {
-        report();
+    if (reported_) {
+        withdraw_late();
+        return;
     }
+    report();
+    schedule_withdrawal();
 }
 
 } // namespace curranthoist::frontd
--- a/curranthoist/frontd/gather_task.hpp
+++ b/curranthoist/frontd/gather_task.hpp
@@ -65,6 +65,11 @@
     void report_late(std::size_t index);
     static void add_ungathered(wire::gather_report_message& message, std::size_t index,
                                const part& from);
+    // From this time on nothing is sent any more.
+    [[nodiscard]] base::instant send_deadline() const;
+    // Takes back the parts that wait for a connection at the send deadline.
+    void withdraw_late();
+    void schedule_withdrawal();
     void end_if_done();
     void on_timer(ev::timer& watcher, int events);
 
--- a/curranthoist/frontd/target_pool_test.cpp
+++ b/curranthoist/frontd/target_pool_test.cpp
@@ -15,7 +15,7 @@
     ev::dynamic_loop loop;
     target_pool pool(loop, std::make_shared<http::memory_account>(1024 * 1024), 10);
     const base::target_id id("a");
-    const auto ignore = [](http::target_result) {};
+    const auto ignore = [](const http::target_result&) {};
     const auto earlier = pool.client(id, {"127.0.0.1", 1}, 1).start({}, ignore);
     pool.retire({id});
     http::target_client& later = pool.client(id, {"127.0.0.1", 1}, 1);
