--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -20,10 +20,8 @@
 // From this process's answer to the caller's receipt, and the time that a busy process
 // needs to get to the answer.
 constexpr base::duration answer_margin = 20_ms;
-// A partial response leaves this long before the objective: the way to the caller and
-// back, and the merge.
-constexpr base::duration soft_margin = 14_ms;
-// The same for a caller that made a connection first: the way there and back.
+// Added to the margin of a partial response for a caller that made a connection first:
+// the way there and back.
 constexpr base::duration handshake_margin = 6_ms;
 // A gatherer reports after the 95th percentile, at 0.4 of the objective at the latest.
 // One that has not reported at this part of the objective is lost or overloaded.
@@ -81,10 +79,11 @@
     forwarding::request_timing result;
     result.arrived = now;
     result.soft_deadline =
-        now + route_.objective - soft_margin -
+        now + route_.objective - latency_.margin().margin(route_.objective) -
         (request_.connection_was_new ? handshake_margin : base::duration());
     result.hard_deadline = hard_limit_;
     result.hedge_delay = latency_.hedge_delay(route_.objective);
+    result.least_answer_time = latency_.least_answer_time(route_.objective);
     result.report_limit = std::max(
         min_report_limit,
         base::duration(static_cast<std::int64_t>(
@@ -108,7 +107,8 @@
                                     context_.directory, context_.own_name, clock_.now());
     }
     run_.emplace(route_, services_of(route_, context_.random), times(arrived_),
-                 context_.directory, context_.budget, std::move(groups));
+                 context_.directory, context_.budget, std::move(groups),
+                 &latency_.parts());
     perform(run_->start(clock_.now()));
 }
 
@@ -176,11 +176,14 @@
         else if (const auto* ended = std::get_if<forwarding::cancel_action>(&action)) {
             cancel(*ended);
         }
+        else if (const auto* late = std::get_if<forwarding::recall_action>(&action)) {
+            recall(*late);
+        }
         else {
             finish(std::get<forwarding::finish_action>(action));
         }
     }
-    if (!actions.empty() || !timer_.is_active()) {
+    if (!actions.empty() || !timer_.is_active() || run_->next_end_check() < scheduled_) {
         schedule();
     }
 }
@@ -417,6 +420,11 @@
     context_.directory.on_answer(sent.target, forwarding::response_kind::cancelled,
                                  now - sent.sent, latency_.usual(), now);
     if (http::target_client* client = context_.pool.find(sent.target)) {
+        if (sent.recalled || client->withdraw(sent.number)) {
+            run_->on_cancelled_unsent(action.call);
+            return;
+        }
+        latency_.add_unfinished(now - sent.sent);
         // Where requests are frequent, the target's slot is worth more than the
         // connection.
         const bool keep_connection = !caller_gone_ && context_.directory.is_rarely_used(
@@ -430,6 +438,17 @@
     }
 }
 
+void caller_task::recall(const forwarding::recall_action& action)
+{
+    target_send* const found = sends_.find(action.call);
+    if (found == nullptr || !found->open || found->group) {
+        return;
+    }
+    if (http::target_client* client = context_.pool.find(found->target)) {
+        found->recalled = client->withdraw(found->number);
+    }
+}
+
 void caller_task::on_result(forwarding::call_id call, http::target_result result)
 {
     target_send& sent = sends_.at(call);
@@ -468,6 +487,7 @@
 
 void caller_task::on_timer(ev::timer& /*watcher*/, int /*events*/)
 {
+    timer_delay_ = std::max(clock_.now() - scheduled_, base::duration());
     note_overdue_groups();
     perform(run_->on_time(clock_.now()));
 }
@@ -478,7 +498,8 @@
     if (ended_ || run_->finished()) {
         return;
     }
-    const base::duration wait = run_->next_deadline() - clock_.now();
+    scheduled_ = run_->next_deadline();
+    const base::duration wait = scheduled_ - clock_.now();
     ev_now_update(context_.loop);
     timer_.start(std::max(wait, 1_ms).seconds());
 }
@@ -501,8 +522,11 @@
 {
     using forwarding::final_outcome;
     namespace status = http::status;
+    const base::instant began = clock_.now();
+    // The calls that had not been sent are known only after their cancellation.
+    const final_outcome outcome = run_->settled_outcome(action.outcome);
     http::caller_response response;
-    switch (action.outcome) {
+    switch (outcome) {
     case final_outcome::complete:
     case final_outcome::partial:
         context_.returns.on_served(run_->service_of(0), clock_.now());
@@ -537,7 +561,10 @@
     }
     const unsigned code = response.status;
     answer_.respond(std::move(response));
-    end(forwarding::outcome_name(action.outcome), code, action.missing);
+    if (route_.gathers()) {
+        latency_.margin().add(clock_.now() - began + timer_delay_);
+    }
+    end(forwarding::outcome_name(outcome), code, action.missing);
 }
 
 std::string caller_task::shortages() const
--- a/curranthoist/frontd/caller_task.hpp
+++ b/curranthoist/frontd/caller_task.hpp
@@ -67,6 +67,7 @@
     void end_groups();
     void send(const forwarding::send_action& action);
     void cancel(const forwarding::cancel_action& action);
+    void recall(const forwarding::recall_action& action);
     // One line for all sends of these actions that are not the first.
     void log_extra_sends(const std::vector<forwarding::request_action>& actions);
     void finish(const forwarding::finish_action& action);
@@ -98,6 +99,9 @@
     // What a caller whose request has not run was told.
     std::optional<base::duration> told_pause_;
     ev::timer timer_;
+    // When the timer is due, and how late it last was.
+    base::instant scheduled_;
+    base::duration timer_delay_;
     end_handler on_end_;
     bool ended_ = false;
     bool caller_gone_ = false;
--- a/curranthoist/http/target_client.hpp
+++ b/curranthoist/http/target_client.hpp
@@ -74,11 +74,18 @@
     // new one costs more than a late response. A target that is at work goes on with it.
     void abandon(call_number number);
 
+    // Ends a call of which no byte has left, with the outcome `withdrawn`, and returns
+    // true: nothing of it will be sent. Otherwise does nothing.
+    bool withdraw(call_number number);
     // Ends the calls of which no byte has left, with the outcome `withdrawn`.
     void withdraw_unsent();
 
     void set_socket_handler(socket_handler handler) { on_socket_ = std::move(handler); }
 
+    // Numbers the calls that are started from now on above `last`, so that the numbers of
+    // two clients differ.
+    void number_calls_above(call_number last) { last_call_ = last; }
+
     // Counts the bodies of responses within a limit that other clients share.
     void limit_memory(std::shared_ptr<memory_account> memory)
     {
