--- a/curranthoist/testing/platform/stand_in_platform.hpp
+++ b/curranthoist/testing/platform/stand_in_platform.hpp
@@ -67,10 +67,10 @@
         std::string path;
         std::string body;
         // When it began.
-        base::instant at;
+        base::instant at = {};
         // The team that it was told, and the caller's key, which should not reach it.
-        std::string team;
-        std::string key;
+        std::string team = {};
+        std::string key = {};
     };
 
     explicit stand_in_platform(const base::endpoint& list);
