Store roll-outs in the replicated log; list targets with their version

Cause: an operator's roll-out has to outlive the leader, and the versions of targets were dropped when the platform's list was read. Change: listed targets have a version, and a changed one is a change of the list. New fields stand at the end of their tables. Nothing orders a roll-out yet.

--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/coreclient/core_links.hpp"
 
 #include "curranthoist/base/wall_clock.hpp"
+#include "curranthoist/deployment/rollout_codec.hpp"
 #include "curranthoist/wire/packed_text.hpp"
 
 #include <algorithm>
@@ -365,6 +366,7 @@
             state.evacuated.insert(base::zone_id(zone->str()));
         }
     }
+    state.rollouts = deployment::decode_rollouts(snapshot);
     log_.info("event=state_received member=" + peer.address.str() + " index=" +
               std::to_string(state.index) + " version=" + std::to_string(state.version));
     if (callbacks_.on_state) {
@@ -408,7 +410,8 @@
                 {base::target_id(text(entry->id())),
                  base::service_id(text(entry->service())),
                  base::zone_id(text(entry->zone())), *address, entry->draining(),
-                 base::duration(static_cast<std::int64_t>(entry->cold_ms()))});
+                 base::duration(static_cast<std::int64_t>(entry->cold_ms())),
+                 text(entry->version())});
         }
     }
     listing_term_ = listing.term();
--- a/curranthoist/coreclient/core_links.hpp
+++ b/curranthoist/coreclient/core_links.hpp
@@ -6,6 +6,7 @@
 #include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/deployment/gatherer.hpp"
 #include "curranthoist/deployment/listing_change.hpp"
+#include "curranthoist/deployment/rollout.hpp"
 #include "curranthoist/deployment/target_sample.hpp"
 #include "curranthoist/deployment/team_use.hpp"
 #include "curranthoist/wire/peer_dialer.hpp"
@@ -31,6 +32,7 @@
     std::uint64_t version = 0;
     std::string document;
     std::set<base::zone_id> evacuated;
+    std::vector<deployment::rollout> rollouts;
 };
 
 // The connections of one process, a front or an observer, to every member of the core.
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -335,6 +335,7 @@
         entry->address = one.address.str();
         entry->draining = one.draining;
         entry->cold_ms = static_cast<std::uint64_t>(one.remaining_cold_time.count());
+        entry->version = one.version;
         message.targets.push_back(std::move(entry));
     }
     for (const base::target_id& id : change.removed) {
--- a/curranthoist/deployment/deployment_state.hpp
+++ b/curranthoist/deployment/deployment_state.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "curranthoist/base/identifiers.hpp"
+#include "curranthoist/deployment/rollout.hpp"
 #include "curranthoist/wire/frame_codec.hpp"
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <span>
@@ -14,8 +16,9 @@
 namespace curranthoist::deployment {
 
 // The state that operators set: the newest configuration, stored as the bytes that were
-// sent, and the zones under evacuation. This class is the state machine of the replicated
-// log, so the result of apply() depends only on the commands.
+// sent, the zones under evacuation, and the newest roll-out of each service. This class
+// is the state machine of the replicated log, so the result of apply() depends only on
+// the commands.
 class deployment_state
 {
 public:
@@ -26,13 +29,20 @@
     replace_configuration(std::uint64_t version, std::string_view document);
     [[nodiscard]] static std::vector<std::uint8_t>
     change_evacuation(const base::zone_id& zone, bool start);
+    // `order` has the service, both versions, the duration and the time of the order.
+    [[nodiscard]] static std::vector<std::uint8_t> start_rollout(const rollout& order);
+    // Ends the running roll-out `order` in the phase `end`.
+    [[nodiscard]] static std::vector<std::uint8_t> end_rollout(const rollout& order,
+                                                               rollout_phase end);
 
     // Sets the handler that is called after each command that apply() accepts and after
     // restore().
     void set_change_handler(change_handler handler) { on_change_ = std::move(handler); }
 
     // Applies the command at `index` of the log. A configuration takes effect only if its
-    // version is higher than the current one. A command that can't be decoded changes
+    // version is higher than the current one, the start of a roll-out only if none of the
+    // service runs and its newest one is to another version, and the end of a roll-out
+    // only for the one that runs. A command that can't be decoded changes
     // nothing, on every member alike.
     void apply(base::log_index index, std::span<const std::uint8_t> command);
     [[nodiscard]] std::vector<std::uint8_t> snapshot() const;
@@ -48,15 +58,26 @@
     // unpacked. Every call unpacks the document again.
     [[nodiscard]] std::string document() const;
     [[nodiscard]] const std::set<base::zone_id>& evacuated() const { return evacuated_; }
+    // The newest roll-out of each service.
+    [[nodiscard]] const std::map<base::service_id, rollout>& rollouts() const
+    {
+        return rollouts_;
+    }
     // The complete state as a message for other processes.
     [[nodiscard]] wire::deployment_snapshot_message message() const;
 
 private:
+    // Returns false if the command changes nothing.
+    bool execute(const wire::deployment_command& command);
+    bool start(rollout order);
+    bool end(const rollout& order);
+
     base::log_index changed_at_;
     std::uint64_t version_ = 0;
     // The configuration document in the form that wire::pack_text() returns.
     std::vector<std::uint8_t> packed_document_;
     std::set<base::zone_id> evacuated_;
+    std::map<base::service_id, rollout> rollouts_;
     change_handler on_change_;
 };
 
--- a/curranthoist/deployment/listed_target.hpp
+++ b/curranthoist/deployment/listed_target.hpp
@@ -4,6 +4,8 @@
 #include "curranthoist/base/endpoint.hpp"
 #include "curranthoist/base/identifiers.hpp"
 
+#include <string>
+
 namespace curranthoist::deployment {
 
 // One incarnation of a target, that is one run of its process, as the platform's list
@@ -19,13 +21,16 @@
     bool draining = false;
     // The remaining time of the target's warm-up when the list was read.
     base::duration remaining_cold_time;
+    // Several versions of a service may run side by side; empty if the list names none.
+    std::string version = {};
 
     // True if both describe the same incarnation in the same state; the remaining time of
     // the warm-up is ignored.
     [[nodiscard]] bool same_run(const listed_target& other) const
     {
         return id == other.id && service == other.service && address == other.address &&
-               zone == other.zone && draining == other.draining;
+               zone == other.zone && draining == other.draining &&
+               version == other.version;
     }
 };
 
--- a/curranthoist/deployment/listing_change_test.cpp
+++ b/curranthoist/deployment/listing_change_test.cpp
@@ -40,6 +40,16 @@
               (std::vector<base::target_id>{base::target_id("b"), base::target_id("e")}));
 }
 
+// Guards against a changed version that fronts don't learn of: they would judge the
+// target's answers as those of another version.
+TEST(listing_change_test, a_changed_version_is_a_change)
+{
+    const std::vector<listed_target> before{make_target("a")};
+    std::vector<listed_target> after{make_target("a")};
+    after[0].version = "v2";
+    EXPECT_EQ(diff_listings(before, after, base::duration(900)).targets.size(), 1U);
+}
+
 // Guards against a change at each reading while a target warms up, and against a missing
 // change when it is cold again: the remaining time is then shorter than before, but the
 // warm-up ends later.
--- a/curranthoist/platform/target_page.cpp
+++ b/curranthoist/platform/target_page.cpp
@@ -80,6 +80,11 @@
         }
         into.remaining_cold_time = base::duration(static_cast<std::int64_t>(value));
     }
+    // Targets without a version are used all the same: only roll-outs need it.
+    into.version = text_field(entry, "version");
+    if (!into.version.empty() && !is_plain_name(into.version)) {
+        return "version is malformed";
+    }
     return std::nullopt;
 }
 
--- a/curranthoist/platform/target_page_test.cpp
+++ b/curranthoist/platform/target_page_test.cpp
@@ -24,6 +24,7 @@
     EXPECT_EQ(read->targets[0].address, (base::endpoint{"10.0.0.9", 8080}));
     EXPECT_EQ(read->targets[0].remaining_cold_time, base::duration(1500));
     EXPECT_FALSE(read->targets[0].draining);
+    EXPECT_EQ(read->targets[0].version, "v1");
     EXPECT_EQ(read->next, "p-50");
     EXPECT_TRUE(decode_target_page(page(good))->next.empty());
 }
