--- /dev/null
+++ b/curranthoist/cored/rollout_judges.cpp
@@ -0,0 +1,91 @@
+#include "curranthoist/cored/rollout_judges.hpp"
+
+#include <algorithm>
+
+namespace curranthoist::cored {
+
+void rollout_judges::set_rollouts(
+    const std::map<base::service_id, deployment::rollout>& rollouts, base::instant now,
+    base::instant wall_now)
+{
+    std::erase_if(running_, [&rollouts](const auto& one) {
+        const auto stored = rollouts.find(one.first);
+        return stored == rollouts.end() ||
+               stored->second.phase != deployment::rollout_phase::running ||
+               !stored->second.same_order(one.second.order);
+    });
+    for (const auto& [service, order] : rollouts) {
+        if (order.phase != deployment::rollout_phase::running ||
+            running_.contains(service)) {
+            continue;
+        }
+        // The wall clocks of two leaders may differ, so the rest is bounded by the order.
+        const base::duration rest =
+            std::min(order.ordered_at + order.duration - wall_now, order.duration);
+        running_.emplace(
+            service, running_rollout{
+                         order, rollout_judge(options_, rest, now), base::instant(), {}});
+    }
+}
+
+void rollout_judges::add(const std::string& front,
+                         std::span<const deployment::version_answers> answers)
+{
+    for (const deployment::version_answers& one : answers) {
+        const auto found = running_.find(one.service);
+        if (found == running_.end()) {
+            continue;
+        }
+        running_rollout& rollout = found->second;
+        rollout_judge::counts& last = rollout.last[{front, one.version}];
+        const bool restarted = one.answers < last.answers || one.bad < last.bad;
+        if (restarted) {
+            last = {};
+        }
+        const rollout_judge::counts grown{one.answers - last.answers, one.bad - last.bad};
+        last = {one.answers, one.bad};
+        if (one.version == rollout.order.target_version) {
+            rollout.judge.add({}, grown);
+        }
+        else {
+            rollout.judge.add(grown, {});
+        }
+    }
+}
+
+void rollout_judges::update(base::instant now)
+{
+    for (auto& [service, one] : running_) {
+        one.judge.update(now);
+    }
+}
+
+std::vector<deployment::rollout_share> rollout_judges::shares() const
+{
+    std::vector<deployment::rollout_share> result;
+    for (const auto& [service, one] : running_) {
+        result.push_back({service, one.order.target_version, one.judge.share()});
+    }
+    return result;
+}
+
+std::vector<rollout_judges::decision> rollout_judges::take_decisions(base::instant now)
+{
+    std::vector<decision> result;
+    for (auto& [service, one] : running_) {
+        const bool is_due =
+            one.named_at == base::instant() || now - one.named_at >= decision_interval;
+        if (one.judge.verdict() != deployment::rollout_phase::running && is_due) {
+            one.named_at = now;
+            result.push_back({one.order, one.judge.verdict()});
+        }
+    }
+    return result;
+}
+
+void rollout_judges::clear()
+{
+    running_.clear();
+}
+
+} // namespace curranthoist::cored
--- /dev/null
+++ b/curranthoist/cored/rollout_judges.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "curranthoist/cored/rollout_judge.hpp"
+#include "curranthoist/deployment/rollout.hpp"
+#include "curranthoist/deployment/rollout_share.hpp"
+#include "curranthoist/deployment/version_answers.hpp"
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace curranthoist::cored {
+
+// The judges of the running roll-outs, on the leader of the core. They work on the sum of
+// what the fronts count.
+class rollout_judges
+{
+public:
+    struct decision
+    {
+        deployment::rollout order;
+        deployment::rollout_phase phase = deployment::rollout_phase::running;
+    };
+
+    // A decision that the state still lacks is named again after this time.
+    static constexpr base::duration decision_interval{1000};
+
+    explicit rollout_judges(rollout_judge::options options)
+        : options_(options)
+    {}
+
+    // Starts judges for the roll-outs that run, and ends those of others. The deadline is
+    // measured on the wall clock, since it may be another leader's order.
+    void set_rollouts(const std::map<base::service_id, deployment::rollout>& rollouts,
+                      base::instant now, base::instant wall_now);
+    // Takes over one front's counts, which it has added up since it learned of the order.
+    // A count that is lower than the last one is that of a front that has restarted.
+    void add(const std::string& front,
+             std::span<const deployment::version_answers> answers);
+    void update(base::instant now);
+    [[nodiscard]] std::vector<deployment::rollout_share> shares() const;
+    // Returns the judgements that are final and that the state lacks.
+    [[nodiscard]] std::vector<decision> take_decisions(base::instant now);
+    // Forgets everything, for a process that begins to lead.
+    void clear();
+
+private:
+    struct running_rollout
+    {
+        deployment::rollout order;
+        rollout_judge judge;
+        base::instant named_at;
+        // The last counts of each front, by version.
+        std::map<std::pair<std::string, std::string>, rollout_judge::counts> last;
+    };
+
+    rollout_judge::options options_;
+    std::map<base::service_id, running_rollout> running_;
+};
+
+} // namespace curranthoist::cored
