Carry out operators' roll-outs

Cause: an operator's order to move a service to targets of another version had no call, and fronts sent to such targets like to any other. Change: the leader takes orders of roll-outs (200 once committed, 409 while one to another version runs, 400 for bad fields or an unknown service) and reads them back after a quorum round. Fronts count answers by service and version and report the sums; the leader judges them, names the shares in its answers to reports while a quorum confirms it, and commits the end. A front sends to the ordered version by its share, nothing to it after a roll-back or 1.2 s without the leader, and nothing to the old one after completion. Result: rollout_path_test (orders through real processes: a good version takes over without a failed request, a bad one is rolled back within 50 requests, all core processes killed), cored_test, forwarding_test, platform_test, coreclient_test, deployment_test, platform_path_test, gathered_query_test and target_trouble_test pass.

--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -181,6 +181,16 @@
             report.team_uses.push_back(std::move(entry));
         }
     }
+    if (callbacks_.answers_by_version && leader_responds() && peer.address == leader_) {
+        for (const deployment::version_answers& one : callbacks_.answers_by_version()) {
+            auto entry = std::make_unique<wire::version_answers_message>();
+            entry->service = one.service.str();
+            entry->version = one.version;
+            entry->answers = one.answers;
+            entry->bad = one.bad;
+            report.answers_by_version.push_back(std::move(entry));
+        }
+    }
     peer.sent_reports[report.sequence] = peer.last_report;
     peer.dialer->send(std::move(report));
 }
@@ -262,6 +272,29 @@
     on_suspects(report);
     on_gatherers(report);
     on_team_answer(report, asked_at);
+    // Without that time the shares may be old: a process that was frozen reads what came
+    // meanwhile.
+    if (callbacks_.on_rollout_shares && asked_at) {
+        on_rollout_shares(report, *asked_at);
+    }
+}
+
+void core_links::on_rollout_shares(const wire::core_report& report,
+                                   base::instant asked_at)
+{
+    constexpr double per_10000 = 10'000.0;
+    std::vector<deployment::rollout_share> shares;
+    if (report.rollout_shares() != nullptr) {
+        for (const wire::rollout_share* one : *report.rollout_shares()) {
+            if (one->service() != nullptr && one->target_version() != nullptr) {
+                shares.push_back(
+                    {base::service_id(one->service()->str()),
+                     one->target_version()->str(),
+                     static_cast<double>(one->share_per_10000()) / per_10000});
+            }
+        }
+    }
+    callbacks_.on_rollout_shares(shares, asked_at);
 }
 
 void core_links::on_team_answer(const wire::core_report& report,
--- a/curranthoist/coreclient/core_links.hpp
+++ b/curranthoist/coreclient/core_links.hpp
@@ -7,8 +7,10 @@
 #include "curranthoist/deployment/gatherer.hpp"
 #include "curranthoist/deployment/listing_change.hpp"
 #include "curranthoist/deployment/rollout.hpp"
+#include "curranthoist/deployment/rollout_share.hpp"
 #include "curranthoist/deployment/target_sample.hpp"
 #include "curranthoist/deployment/team_use.hpp"
+#include "curranthoist/deployment/version_answers.hpp"
 #include "curranthoist/wire/peer_dialer.hpp"
 
 #include <ev++.h>
@@ -19,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -68,6 +71,12 @@
         std::function<std::vector<deployment::team_use>()> team_uses;
         // Returns the samples of targets to report to the leader.
         std::function<std::vector<deployment::target_sample>()> samples;
+        // Called with the shares of the running roll-outs, which the leader named at `at`
+        // or later.
+        std::function<void(std::span<const deployment::rollout_share>, base::instant at)>
+            on_rollout_shares;
+        // Returns the answers by version to report to the leader.
+        std::function<std::vector<deployment::version_answers>()> answers_by_version;
     };
 
     static constexpr base::duration report_interval{400};
@@ -128,6 +137,8 @@
     // `asked_at` is when the report was sent that this answers, if that is known.
     void on_team_answer(const wire::core_report& report,
                         std::optional<base::instant> asked_at);
+    // `asked_at` is when the report was sent that this answers.
+    void on_rollout_shares(const wire::core_report& report, base::instant asked_at);
     void on_gatherers(const wire::core_report& report);
     void drop_old_suspects();
     void on_snapshot(const link& peer, const wire::deployment_snapshot& snapshot);
--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -92,16 +92,19 @@
     , founder_(std::move(founder))
     , disk_(created(settings_.data_folder))
     , store_(prepare(disk_, settings_, founder_))
-    , sessions_(
-          state_, settings_.link_bytes_per_s, [this] { return view(); },
-          settings_.gather_from_fronts, settings_.team_limit_slack)
+    , sessions_(state_, settings_.link_bytes_per_s, [this] { return view(); },
+                settings_.gather_from_fronts, settings_.team_limit_slack,
+                {settings_.exposure_share, settings_.exposure_slack})
     , host_(loop_, store_, state_, host_options(),
             [this](std::unique_ptr<consensus::peer_session> session,
                    const wire::hello& hello) {
                 sessions_.on_session(std::move(session), hello);
             })
     , requests_(host_, state_, keeper_, choice, own_peers(), founder_,
-                settings_.operators->port)
+                settings_.operators->port,
+                [this](const base::service_id& service, const std::string& version) {
+                    return sessions_.listed_version(service, version);
+                })
     , tick_(loop_)
     , stop_timer_(loop_)
 {
@@ -210,9 +213,37 @@
     }
 }
 
+bool core_process::has_running_rollout() const
+{
+    return std::any_of(state_.rollouts().begin(), state_.rollouts().end(),
+                       [](const auto& one) {
+                           return one.second.phase == deployment::rollout_phase::running;
+                       });
+}
+
+void core_process::end_rollouts()
+{
+    for (const rollout_judges::decision& one :
+         sessions_.judge_rollouts(host_.status().term.value())) {
+        const std::string what =
+            "service=" + one.order.service.str() +
+            " version=" + one.order.target_version +
+            (one.phase == deployment::rollout_phase::completed ? " phase=completed"
+                                                               : " phase=rolled_back");
+        host_.propose(deployment::deployment_state::end_rollout(one.order, one.phase),
+                      [this, what](consensus::proposal_outcome outcome, base::log_index) {
+                          const bool applied =
+                              outcome == consensus::proposal_outcome::applied;
+                          log_.info("event=rollout_ended " + what +
+                                    (applied ? " outcome=applied" : " outcome=unknown"));
+                      });
+    }
+}
+
 void core_process::confirm_leadership(base::instant now)
 {
-    if (!settings_.revocation_limit || now - confirmed_at_ < confirm_interval) {
+    const bool is_needed = settings_.revocation_limit || has_running_rollout();
+    if (!is_needed || now - confirmed_at_ < confirm_interval) {
         return;
     }
     confirmed_at_ = now;
@@ -230,6 +261,7 @@
     sessions_.send_due();
     if (host_.is_leader()) {
         confirm_leadership(now);
+        end_rollouts();
         if (const auto change = keeper_.next_change(host_.status(), now)) {
             const std::string refused = host_.change_membership(*change);
             if (refused.empty()) {
--- a/curranthoist/cored/core_process.hpp
+++ b/curranthoist/cored/core_process.hpp
@@ -65,6 +65,9 @@
     void update_teams();
     // On the leader: lets a quorum confirm it, for the leases of fronts on keys.
     void confirm_leadership(base::instant now);
+    [[nodiscard]] bool has_running_rollout() const;
+    // Proposes the ends of roll-outs that are judged.
+    void end_rollouts();
     void on_tick(ev::timer& watcher, int events);
     void on_stop_timer(ev::timer& watcher, int events);
     void join_if_needed(base::instant now);
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -37,12 +37,14 @@
 
 front_sessions::front_sessions(const deployment::deployment_state& state,
                                double link_bytes_per_s, view_source view,
-                               std::size_t gather_from_fronts, double team_limit_slack)
+                               std::size_t gather_from_fronts, double team_limit_slack,
+                               rollout_judge::options rollouts)
     : state_(state)
     , view_(std::move(view))
     , allowance_(link_bytes_per_s * link_part)
     , gather_from_fronts_(gather_from_fronts)
     , gatherers_(gather_from_fronts, std::random_device()(), clock_.now())
+    , judges_(rollouts)
     , suspects_number_(std::random_device()())
     , accounts_(team_limit_slack)
 {}
@@ -125,13 +127,10 @@
     if (view.leader) {
         suspects_.add(samples_of(report), now);
         add_suspects(answer, report, now);
-        if (gatherers_term_ != view.term) {
-            gatherers_term_ = view.term;
-            gatherers_ =
-                gatherer_choice(gather_from_fronts_, std::random_device()(), now);
-        }
+        follow_term(view.term, now);
         add_gatherers(answer, report, now);
         add_team_shares(answer, report, now);
+        add_rollout_shares(answer, from, report, now);
         if (confirmed_) {
             answer.confirmed_index = confirmed_->index.value();
             answer.confirmed_age_ms =
@@ -141,6 +140,83 @@
     from.session->send(std::move(answer));
 }
 
+void front_sessions::follow_term(std::uint64_t term, base::instant now)
+{
+    if (led_term_ != term) {
+        led_term_ = term;
+        gatherers_ = gatherer_choice(gather_from_fronts_, std::random_device()(), now);
+        judges_.clear();
+    }
+}
+
+std::vector<rollout_judges::decision> front_sessions::judge_rollouts(std::uint64_t term)
+{
+    const base::instant now = clock_.now();
+    follow_term(term, now);
+    judges_.set_rollouts(state_.rollouts(), now, base::wall_clock().now());
+    judges_.update(now);
+    return judges_.take_decisions(now);
+}
+
+std::optional<std::string>
+front_sessions::listed_version(const base::service_id& service,
+                               const std::string& target_version) const
+{
+    if (!listing_) {
+        return std::nullopt;
+    }
+    std::map<std::string, std::size_t> counts;
+    for (const deployment::listed_target& one : listing_->targets) {
+        if (one.service == service && one.version != target_version) {
+            ++counts[one.version];
+        }
+    }
+    const auto most =
+        std::max_element(counts.begin(), counts.end(), [](const auto& a, const auto& b) {
+            return a.second < b.second;
+        });
+    return most == counts.end() ? std::string() : most->first;
+}
+
+void front_sessions::add_rollout_shares(wire::core_report_message& answer,
+                                        const front_session& from,
+                                        const wire::front_report& report,
+                                        base::instant now)
+{
+    if (report.answers_by_version() != nullptr) {
+        std::vector<deployment::version_answers> answers;
+        for (const wire::version_answers* one : *report.answers_by_version()) {
+            if (one->service() != nullptr && one->version() != nullptr) {
+                answers.push_back({base::service_id(one->service()->str()),
+                                   one->version()->str(), one->answers(), one->bad()});
+            }
+        }
+        judges_.add(from.name, answers);
+        judges_.update(now);
+    }
+    if (!confirmed_ || now - confirmed_->at > confirmation_limit) {
+        return;
+    }
+    constexpr double per_10000 = 10'000.0;
+    std::vector<deployment::rollout_share> shares = judges_.shares();
+    if (from.state_held < state_.changed_at()) {
+        // To this front a completed roll-out still runs. Without a share it would send to
+        // the old targets, which have stopped.
+        for (const auto& [service, one] : state_.rollouts()) {
+            if (one.phase == deployment::rollout_phase::completed) {
+                shares.push_back({service, one.target_version, 1.0});
+            }
+        }
+    }
+    for (const deployment::rollout_share& share : shares) {
+        auto entry = std::make_unique<wire::rollout_share_message>();
+        entry->service = share.service.str();
+        entry->target_version = share.target_version;
+        entry->share_per_10000 = static_cast<std::uint32_t>(share.share * per_10000);
+        answer.rollout_shares.push_back(std::move(entry));
+    }
+}
+
 void front_sessions::add_team_shares(wire::core_report_message& answer,
                                      const wire::front_report& report, base::instant now)
 {
--- a/curranthoist/cored/front_sessions.hpp
+++ b/curranthoist/cored/front_sessions.hpp
@@ -2,8 +2,10 @@
 
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/base/wall_clock.hpp"
 #include "curranthoist/consensus/peer_session.hpp"
 #include "curranthoist/cored/gatherer_choice.hpp"
+#include "curranthoist/cored/rollout_judges.hpp"
 #include "curranthoist/cored/send_allowance.hpp"
 #include "curranthoist/cored/suspect_targets.hpp"
 #include "curranthoist/cored/team_accounts.hpp"
@@ -66,12 +68,16 @@
     static constexpr base::duration gatherers_interval{200};
     // The shares of teams are computed anew at most once in this time.
     static constexpr base::duration shares_interval{100};
+    // A leader that no quorum has confirmed for this time names no shares of roll-outs:
+    // another one may have rolled them back.
+    static constexpr base::duration confirmation_limit{1200};
 
     // States and lists fill a part of the link at most. The state must outlive it.
-    // gatherer_choice explains `gather_from_fronts`, team_accounts `team_limit_slack`.
+    // gatherer_choice explains `gather_from_fronts`, team_accounts `team_limit_slack`,
+    // and rollout_judge `rollouts`.
     front_sessions(const deployment::deployment_state& state, double link_bytes_per_s,
                    view_source view, std::size_t gather_from_fronts = 0,
-                   double team_limit_slack = 0.0);
+                   double team_limit_slack = 0.0, rollout_judge::options rollouts = {});
 
     void on_session(std::unique_ptr<consensus::peer_session> session,
                     const wire::hello& hello);
@@ -88,6 +94,15 @@
     {
         accounts_.set_teams(teams, clock_.now());
     }
+    // Judges the running roll-outs and returns the ends that the state lacks; call it
+    // often on the leader of `term`.
+    [[nodiscard]] std::vector<rollout_judges::decision>
+    judge_rollouts(std::uint64_t term);
+    // Returns the version of most of the service's listed targets other than
+    // `target_version`; empty if there is no such target, nullopt without a listing.
+    [[nodiscard]] std::optional<std::string>
+    listed_version(const base::service_id& service,
+                   const std::string& target_version) const;
     // This process no longer leads; its last reading is dropped.
     void drop_listing() { listing_.reset(); }
     // Sends what fronts still lack, as far as the rate allows; call it often.
@@ -154,6 +169,11 @@
     // Takes over what a front admitted of each team, and tells it what fits.
     void add_team_shares(wire::core_report_message& answer,
                          const wire::front_report& report, base::instant now);
+    // Takes over a front's answers by version, and names the shares of roll-outs.
+    void add_rollout_shares(wire::core_report_message& answer, const front_session& from,
+                            const wire::front_report& report, base::instant now);
+    // Forgets what an earlier term of this process as the leader left behind.
+    void follow_term(std::uint64_t term, base::instant now);
     // Names the targets that do badly in an answer to a report that lacks them.
     // Names the gatherers in an answer to a report that lacks the newest choice.
     void add_gatherers(wire::core_report_message& answer,
@@ -201,9 +221,10 @@
     std::uint64_t last_sequence_ = 0;
     // On the leader.
     std::size_t gather_from_fronts_;
-    // Of the term in which this process led last.
+    // Of `led_term_`, the term in which this process led last.
     gatherer_choice gatherers_;
-    std::uint64_t gatherers_term_ = 0;
+    rollout_judges judges_;
+    std::uint64_t led_term_ = 0;
     base::instant gatherers_at_;
     suspect_targets suspects_;
     std::vector<std::string> suspect_names_;
--- a/curranthoist/cored/front_sessions_test.cpp
+++ b/curranthoist/cored/front_sessions_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 
 #include <sys/socket.h>
 
@@ -41,6 +42,8 @@
     std::uint64_t answers = 0;
     std::uint64_t fronts = 0;
     std::vector<std::string> gatherers;
+    // Of roll-outs, in the last answer.
+    std::map<std::string, unsigned> shares;
     std::uint64_t gatherers_number = 0;
     // Of lists and changes of them, as they came.
     std::vector<std::size_t> packed_bytes;
@@ -55,6 +58,12 @@
         if (const auto* answer = message.body_as_core_report()) {
             answers = answer->sequence();
             fronts = answer->fronts();
+            shares.clear();
+            if (answer->rollout_shares() != nullptr) {
+                for (const auto* one : *answer->rollout_shares()) {
+                    shares[one->service()->str()] = one->share_per_10000();
+                }
+            }
             if (gatherers_number != answer->gatherers_number()) {
                 gatherers_number = answer->gatherers_number();
                 gatherers.clear();
@@ -151,6 +160,42 @@
     EXPECT_EQ(front.states, std::vector<std::uint64_t>{1});
 }
 
+// Guards against shares by a leader that may have been replaced, and against a front
+// that returns to stopped targets because it learns of the end of a roll-out late.
+TEST_F(front_sessions_test, shares_of_rollouts_come_from_a_confirmed_leader)
+{
+    fake_front front(loop_, open_session("vm"));
+    const auto report = [&] {
+        const std::uint64_t before = front.answers;
+        front.report();
+        EXPECT_TRUE(run_until(loop_, [&] { return front.answers > before; }));
+    };
+    const deployment::rollout order{base::service_id("s"), "v2", "v1",
+                                    base::duration(12'000), base::wall_clock().now()};
+    state_.apply(base::log_index(1), deployment::deployment_state::start_rollout(order));
+    EXPECT_TRUE(sessions_.judge_rollouts(1).empty());
+    report();
+    EXPECT_TRUE(front.shares.empty());
+    const base::monotonic_clock clock;
+    sessions_.confirm(state_.changed_at(), clock.now());
+    report();
+    EXPECT_EQ(front.shares, (std::map<std::string, unsigned>{{"s", 200}}));
+    state_.apply(base::log_index(2), deployment::deployment_state::end_rollout(
+                                         order, deployment::rollout_phase::completed));
+    EXPECT_TRUE(sessions_.judge_rollouts(1).empty());
+    front.held_state = 1;
+    report();
+    EXPECT_EQ(front.shares, (std::map<std::string, unsigned>{{"s", 10'000}}));
+    front.held_state = 2;
+    report();
+    EXPECT_TRUE(front.shares.empty());
+    sessions_.confirm(state_.changed_at(),
+                      clock.now() - front_sessions::confirmation_limit * 2);
+    front.held_state = 1;
+    report();
+    EXPECT_TRUE(front.shares.empty());
+}
+
 // Guards against a session that queues every state of a series for a front that does not
 // read, so that the newest one comes last.
 TEST_F(front_sessions_test, a_front_that_reads_late_gets_the_newest_state_next)
--- a/curranthoist/cored/operator_requests.cpp
+++ b/curranthoist/cored/operator_requests.cpp
@@ -1,12 +1,14 @@
 #include "curranthoist/cored/operator_requests.hpp"
 
 #include "curranthoist/base/findings_error.hpp"
+#include "curranthoist/base/wall_clock.hpp"
 #include "curranthoist/cored/founder_choice.hpp"
 #include "curranthoist/cored/founding_api.hpp"
 #include "curranthoist/cored/join_client.hpp"
 #include "curranthoist/cored/membership_keeper.hpp"
 #include "curranthoist/http/status.hpp"
 #include "curranthoist/platform/configuration_document.hpp"
+#include "curranthoist/platform/rollout_document.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -35,12 +37,10 @@
 
 } // namespace
 
-operator_requests::operator_requests(host_type& host,
-                                     const deployment::deployment_state& state,
-                                     membership_keeper& keeper, founder_choice& choice,
-                                     base::endpoint own_peers,
-                                     const base::endpoint& founder,
-                                     std::uint16_t operators_port)
+operator_requests::operator_requests(
+    host_type& host, const deployment::deployment_state& state, membership_keeper& keeper,
+    founder_choice& choice, base::endpoint own_peers, const base::endpoint& founder,
+    std::uint16_t operators_port, version_source listed_version)
     : host_(host)
     , state_(state)
     , keeper_(keeper)
@@ -48,6 +48,7 @@
     , own_peers_(std::move(own_peers))
     , founder_(founder)
     , operators_port_(operators_port)
+    , listed_version_(std::move(listed_version))
     , started_(clock_.now())
 {}
 
@@ -88,6 +89,12 @@
     else if (const auto* order = std::get_if<platform::evacuation_call>(&call)) {
         change_evacuation(*order, request.target, answer);
     }
+    else if (std::holds_alternative<platform::start_rollout_call>(call)) {
+        start_rollout(request, answer);
+    }
+    else if (const auto* read = std::get_if<platform::read_rollout_call>(&call)) {
+        read_rollout(read->service, request.target, answer);
+    }
     else {
         answer.respond(text_response(http::status::not_found, "unknown call"));
     }
@@ -121,29 +128,34 @@
 }
 
 void operator_requests::propose(std::vector<std::uint8_t> command,
-                                const std::string& what, const http::responder& answer)
+                                const std::string& what, const http::responder& answer,
+                                std::function<http::caller_response()> respond)
 {
     if (is_gathering()) {
         answer.respond(text_response(http::status::service_unavailable,
                                      "the log has too few members yet"));
         return;
     }
-    host_.propose(std::move(command), [this, what, answer, begun = clock_.now()](
-                                          consensus::proposal_outcome outcome,
-                                          base::log_index index) {
-        const bool applied = outcome == consensus::proposal_outcome::applied;
-        count_order(applied ? "applied" : "unknown");
-        metrics_
-            .histogram_named("curranthoist_commit_ms",
-                             "From an order's arrival at the leader to its outcome")
-            .add(clock_.now() - begun);
-        log_.info("event=order_ended " + what +
-                  " index=" + std::to_string(index.value()) +
-                  " outcome=" + (applied ? "applied" : "unknown"));
-        answer.respond(applied ? http::caller_response{.body = "{}"}
-                               : text_response(http::status::service_unavailable,
-                                               "the outcome is not known"));
-    });
+    host_.propose(
+        std::move(command),
+        [this, what, answer, respond = std::move(respond), begun = clock_.now()](
+            consensus::proposal_outcome outcome, base::log_index index) {
+            const bool applied = outcome == consensus::proposal_outcome::applied;
+            count_order(applied ? "applied" : "unknown");
+            metrics_
+                .histogram_named("curranthoist_commit_ms",
+                                 "From an order's arrival at the leader to its outcome")
+                .add(clock_.now() - begun);
+            log_.info("event=order_ended " + what +
+                      " index=" + std::to_string(index.value()) +
+                      " outcome=" + (applied ? "applied" : "unknown"));
+            if (!applied) {
+                answer.respond(text_response(http::status::service_unavailable,
+                                             "the outcome is not known"));
+                return;
+            }
+            answer.respond(respond ? respond() : http::caller_response{.body = "{}"});
+        });
 }
 
 void operator_requests::replace_configuration(const http::caller_request& request,
@@ -211,6 +223,125 @@
             answer);
 }
 
+void operator_requests::refuse_order(const std::string& what, unsigned status,
+                                     const std::string& reason,
+                                     const http::responder& answer)
+{
+    log_.warn("event=order_refused " + what + " reason=\"" + reason + "\"");
+    count_order("invalid");
+    answer.respond(text_response(status, reason));
+}
+
+void operator_requests::start_rollout(const http::caller_request& request,
+                                      const http::responder& answer)
+{
+    deployment::rollout order;
+    try {
+        order = platform::decode_rollout_order(request.body);
+    }
+    catch (const base::findings_error& error) {
+        refuse_order("order=start_rollout", http::status::bad_request,
+                     quoted_safe(error.what()), answer);
+        return;
+    }
+    if (!host_.is_leader()) {
+        redirect(request.target, answer);
+        return;
+    }
+    host_.confirm_read([this, order = std::move(order), answer](bool confirmed) {
+        if (!confirmed) {
+            answer.respond(text_response(http::status::service_unavailable,
+                                         "the roll-outs are not known"));
+            return;
+        }
+        start_confirmed_rollout(order, answer);
+    });
+}
+
+void operator_requests::start_confirmed_rollout(deployment::rollout order,
+                                                const http::responder& answer)
+{
+    const std::string what =
+        "order=start_rollout service=" + quoted_safe(order.service.str()) +
+        " version=" + quoted_safe(order.target_version);
+    const auto respond = [this, service = order.service,
+                          version = order.target_version]() -> http::caller_response {
+        const auto stored = state_.rollouts().find(service);
+        if (stored != state_.rollouts().end() &&
+            stored->second.target_version == version) {
+            return {.body = "{}"};
+        }
+        return text_response(http::status::conflict,
+                             "a roll-out of the service to another version runs");
+    };
+    const auto known = state_.rollouts().find(order.service);
+    if (known != state_.rollouts().end()) {
+        const deployment::rollout& newest = known->second;
+        // An order whose acknowledgement was lost comes again, also after its end.
+        if (newest.target_version == order.target_version) {
+            count_order("held");
+            log_.info("event=order_ended " + what + " outcome=held");
+            answer.respond(respond());
+            return;
+        }
+        if (newest.phase == deployment::rollout_phase::running) {
+            refuse_order(what, http::status::conflict,
+                         "a roll-out of the service to another version runs", answer);
+            return;
+        }
+    }
+    try {
+        if (!platform::decode_configuration(state_.document())
+                 .services.contains(order.service)) {
+            refuse_order(what, http::status::bad_request,
+                         "the configuration has no such service", answer);
+            return;
+        }
+    }
+    catch (const base::findings_error& error) {
+        log_.error(
+            "event=configuration_unreadable version=" + std::to_string(state_.version()) +
+            " findings=\"" + quoted_safe(error.what()) + "\"");
+        answer.respond(text_response(http::status::service_unavailable,
+                                     "the newest configuration is not known"));
+        return;
+    }
+    const auto base_version = listed_version_(order.service, order.target_version);
+    if (!base_version) {
+        answer.respond(text_response(http::status::service_unavailable,
+                                     "the targets' versions are not known yet"));
+        return;
+    }
+    order.base_version = *base_version;
+    order.ordered_at = base::wall_clock().now();
+    propose(deployment::deployment_state::start_rollout(order),
+            what + " base_version=" + order.base_version, answer, respond);
+}
+
+void operator_requests::read_rollout(const base::service_id& service,
+                                     const std::string& path,
+                                     const http::responder& answer)
+{
+    if (!host_.is_leader()) {
+        redirect(path, answer);
+        return;
+    }
+    host_.confirm_read([this, service, answer](bool confirmed) {
+        if (!confirmed) {
+            answer.respond(text_response(http::status::service_unavailable,
+                                         "the roll-outs are not known"));
+            return;
+        }
+        const auto stored = state_.rollouts().find(service);
+        if (stored == state_.rollouts().end()) {
+            answer.respond(text_response(http::status::not_found,
+                                         "no roll-out of the service was ordered"));
+            return;
+        }
+        answer.respond({.body = platform::encode_rollout_state(stored->second)});
+    });
+}
+
 void operator_requests::on_join(const http::caller_request& request,
                                 const http::responder& answer)
 {
--- a/curranthoist/cored/operator_requests.hpp
+++ b/curranthoist/cored/operator_requests.hpp
@@ -11,6 +11,8 @@
 #include "curranthoist/platform/operator_call.hpp"
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,12 +32,17 @@
 public:
     using host_type = consensus::replica_host<deployment::deployment_state>;
 
+    // Returns the version that most listed targets of a service have, other than the
+    // given one; nullopt if no list has been read.
+    using version_source = std::function<std::optional<std::string>(
+        const base::service_id& service, const std::string& target_version)>;
+
     // All references must outlive it. `founder` is the founder's address for other
     // members at the first start, and empty afterwards.
     operator_requests(host_type& host, const deployment::deployment_state& state,
                       membership_keeper& keeper, founder_choice& choice,
                       base::endpoint own_peers, const base::endpoint& founder,
-                      std::uint16_t operators_port);
+                      std::uint16_t operators_port, version_source listed_version);
     operator_requests(const operator_requests&) = delete;
     operator_requests& operator=(const operator_requests&) = delete;
 
@@ -50,13 +57,25 @@
     void read_configuration(const std::string& path, const http::responder& answer);
     void change_evacuation(const platform::evacuation_call& call, const std::string& path,
                            const http::responder& answer);
+    void start_rollout(const http::caller_request& request,
+                       const http::responder& answer);
+    // Runs on a leader that a quorum has confirmed.
+    void start_confirmed_rollout(deployment::rollout order,
+                                 const http::responder& answer);
+    void read_rollout(const base::service_id& service, const std::string& path,
+                      const http::responder& answer);
+    // Logs and counts an order that is refused for its contents.
+    void refuse_order(const std::string& what, unsigned status, const std::string& reason,
+                      const http::responder& answer);
     void on_join(const http::caller_request& request, const http::responder& answer);
     // Sends the request to the leader, or answers 503 if none is known.
     void redirect(const std::string& path, const http::responder& answer);
     // True while a log that was just founded has too few members to survive a loss.
     [[nodiscard]] bool is_gathering() const;
+    // `respond` answers an applied command; by default with 200.
     void propose(std::vector<std::uint8_t> command, const std::string& what,
-                 const http::responder& answer);
+                 const http::responder& answer,
+                 std::function<http::caller_response()> respond = {});
     void count_order(const char* outcome);
 
     host_type& host_;
@@ -66,6 +85,7 @@
     base::endpoint own_peers_;
     const base::endpoint& founder_;
     std::uint16_t operators_port_;
+    version_source listed_version_;
     base::logger log_{"core"};
     base::monotonic_clock clock_;
     base::instant started_;
--- a/curranthoist/cored/rollout_judge.hpp
+++ b/curranthoist/cored/rollout_judge.hpp
@@ -60,6 +60,7 @@
     double evidence_ = 0;
     // Bad answers beyond those that the old version would have given.
     double surplus_bad_ = 0;
+    double surplus_variance_ = 0;
     bool accepted_ = false;
     deployment::rollout_phase verdict_ = deployment::rollout_phase::running;
 };
--- a/curranthoist/forwarding/target_directory.cpp
+++ b/curranthoist/forwarding/target_directory.cpp
@@ -64,7 +64,8 @@
     return "listed=" + std::to_string(listed) + " draining=" + std::to_string(draining) +
            " cold=" + std::to_string(cold) + " evacuated=" + std::to_string(evacuated) +
            " unreachable=" + std::to_string(unreachable) +
-           " leaving=" + std::to_string(leaving) + " paused=" + std::to_string(paused);
+           " leaving=" + std::to_string(leaving) + " paused=" + std::to_string(paused) +
+           " excluded=" + std::to_string(excluded);
 }
 
 std::vector<base::target_id>
@@ -183,7 +184,8 @@
 bool target_directory::is_usable(const target_state& target, base::instant now) const
 {
     if (target.listed.draining || target.unreachable || now < target.cold_until ||
-        now < target.paused_until || evacuated_.contains(target.listed.zone)) {
+        now < target.paused_until || evacuated_.contains(target.listed.zone) ||
+        !versions_.is_allowed(target.listed.service, target.listed.version, now)) {
         return false;
     }
     const auto restored = zone_restored_at_.find(target.listed.zone);
@@ -234,7 +236,10 @@
         return nullptr;
     }
     const base::duration half_life = listed->second.half_life();
+    const std::string* const ordered = versions_.running_version(service);
+    const bool allows_ordered = ordered != nullptr && versions_.allows_next(service, now);
     const target_state* best = nullptr;
+    bool best_is_ordered = false;
     double best_cost = 0;
     for (const target_state* const candidate : listed->second.targets) {
         const target_state& target = *candidate;
@@ -242,12 +247,18 @@
                                                  target.listed.id) != excluded.end()) {
             continue;
         }
+        // A roll-out must see its share of the requests, whatever its targets cost.
+        const bool is_ordered = ordered != nullptr && target.listed.version == *ordered;
+        if ((is_ordered && !allows_ordered) || (best_is_ordered && !is_ordered)) {
+            continue;
+        }
         const double value = selection_cost(target, half_life, now);
         // Each VM ranks equal targets in its own order, which spreads the load and lets
         // the VM reuse its connections.
-        if (best == nullptr || value < best_cost ||
+        if (best == nullptr || is_ordered != best_is_ordered || value < best_cost ||
             (value == best_cost && target.rank < best->rank)) {
             best = &target;
+            best_is_ordered = is_ordered;
             best_cost = value;
         }
     }
@@ -318,6 +329,8 @@
         result.leaving += target.leaving ? 1 : 0;
         result.paused += now < target.paused_until ? 1 : 0;
         result.cold += now < target.cold_until ? 1 : 0;
+        result.excluded +=
+            versions_.is_allowed(service, target.listed.version, now) ? 0 : 1;
         result.evacuated += evacuated_.contains(target.listed.zone) ? 1 : 0;
     }
     return result;
@@ -336,6 +349,8 @@
     if (found != targets_.end()) {
         found->second.estimate.on_sent(expected_latency, now);
         services_[found->second.listed.service].on_sent(now);
+        versions_.on_sent(found->second.listed.service, found->second.listed.version,
+                          now);
     }
 }
 
@@ -394,6 +409,8 @@
     }
     target_state& target = found->second;
     record_sample(target, kind, latency, expected_latency);
+    versions_.on_answer(target.listed.service, target.listed.version, kind, latency,
+                        expected_latency);
     const base::duration half_life = services_[target.listed.service].half_life();
     if (target.estimate.on_answer(kind, latency, expected_latency, half_life, now)) {
         mark_unreachable(target, first_probe_delay, now);
--- a/curranthoist/forwarding/target_directory.hpp
+++ b/curranthoist/forwarding/target_directory.hpp
@@ -7,6 +7,7 @@
 #include "curranthoist/forwarding/response_kind.hpp"
 #include "curranthoist/forwarding/target_estimate.hpp"
 #include "curranthoist/forwarding/target_notice.hpp"
+#include "curranthoist/forwarding/version_rules.hpp"
 
 #include <cstddef>
 #include <map>
@@ -48,12 +49,15 @@
         std::size_t unreachable = 0;
         std::size_t leaving = 0;
         std::size_t paused = 0;
+        // Of a version that may get nothing.
+        std::size_t excluded = 0;
 
         [[nodiscard]] std::string text() const;
     };
 
     explicit target_directory(options directory_options)
         : options_(std::move(directory_options))
+        , versions_(options_.own_name)
     {}
 
     // Applies a change of the list. Returns the targets that are no longer listed.
@@ -64,6 +68,9 @@
     // its targets are used once a later reading of the list tells whether they are cold.
     void set_evacuated(std::set<base::zone_id> zones, base::instant now);
 
+    // What the roll-outs allow; requests follow it.
+    [[nodiscard]] version_rules& versions() { return versions_; }
+
     // Returns the best usable target of a service that is not in `excluded`, or null if
     // there is none. The directory owns the target.
     [[nodiscard]] const deployment::listed_target*
@@ -209,6 +216,7 @@
                           base::instant now);
 
     options options_;
+    version_rules versions_;
     bool has_listing_ = false;
     base::instant read_at_;
     std::map<base::target_id, target_state> targets_;
--- a/curranthoist/forwarding/target_directory_test.cpp
+++ b/curranthoist/forwarding/target_directory_test.cpp
@@ -448,5 +448,104 @@
     EXPECT_EQ(directory_.find(base::target_id("a")), nullptr);
 }
 
+class rollout_directory_test : public target_directory_test
+{
+protected:
+    rollout_directory_test()
+    {
+        auto old_target = target("a");
+        old_target.version = "v1";
+        auto new_target = target("b", "far");
+        new_target.version = "v2";
+        list({old_target, new_target});
+        set_phase(deployment::rollout_phase::running);
+    }
+    void set_phase(deployment::rollout_phase phase,
+                   std::set<std::string> excluded_versions = {})
+    {
+        const std::vector<deployment::rollout> rollouts{
+            {service, "v2", "v1", duration(12'000), instant(1), phase,
+             std::move(excluded_versions)}};
+        directory_.versions().set_rollouts(rollouts);
+    }
+    void set_share(double share)
+    {
+        const std::vector<deployment::rollout_share> shares{{service, "v2", share}};
+        directory_.versions().set_shares(shares, now_);
+    }
+    // Returns how many of `count` requests go to the new target.
+    int send(int count)
+    {
+        int to_new = 0;
+        for (int i = 0; i < count; ++i) {
+            const std::string id = chosen();
+            directory_.on_sent(base::target_id(id), usual_latency, now_);
+            directory_.on_answer(base::target_id(id), response_kind::success,
+                                 usual_latency, usual_latency, now_);
+            to_new += id == "b" ? 1 : 0;
+        }
+        return to_new;
+    }
+};
+
+// Guards against an ordered version that gets requests beyond its share, also as the
+// second target of a request or from a VM that doesn't hear the leader.
+TEST_F(rollout_directory_test, the_ordered_version_gets_its_share_and_no_more)
+{
+    EXPECT_EQ(send(100), 0);
+    EXPECT_EQ(chosen("a"), "");
+    EXPECT_EQ(directory_.explain(service, now_).excluded, 1U);
+    set_share(0.1);
+    EXPECT_NEAR(send(1000), 100, 1);
+    set_share(1.0);
+    EXPECT_GE(send(100), 99);
+    advance(version_share::share_limit.count() + 1);
+    EXPECT_EQ(send(100), 0);
+    EXPECT_FALSE(directory_.is_usable(base::target_id("b"), now_));
+}
+
+// Guards against requests to a version that was rolled back, and to old targets that stop
+// at the end of a roll-out.
+TEST_F(rollout_directory_test, an_ended_rollout_excludes_a_version)
+{
+    set_share(1.0);
+    set_phase(deployment::rollout_phase::rolled_back, {"v2"});
+    EXPECT_EQ(send(10), 0);
+    EXPECT_EQ(chosen("a"), "");
+    set_phase(deployment::rollout_phase::completed, {"v1"});
+    EXPECT_EQ(send(10), 10);
+    EXPECT_EQ(chosen("b"), "");
+}
+
+// Guards against requests that fail because the targets of the version that they should
+// go to are unusable, although those of the old version are not.
+TEST_F(rollout_directory_test, the_old_version_serves_what_the_new_one_cannot)
+{
+    set_share(1.0);
+    EXPECT_EQ(chosen("b"), "a");
+}
+
+// Guards against answers that are counted for the wrong version, and against calls that
+// were never run or were overtaken counted as bad.
+TEST_F(rollout_directory_test, answers_are_counted_by_version)
+{
+    set_share(0.5);
+    send_and_respond("a", response_kind::success);
+    send_and_respond("a", response_kind::cancelled);
+    send_and_respond("b", response_kind::failure);
+    send_and_respond("b", response_kind::not_run);
+    send_and_respond("b", response_kind::success, usual_latency.count() * 4);
+    const auto answers = directory_.versions().answers();
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers[0].version, "v1");
+    EXPECT_EQ(answers[0].answers, 1U);
+    EXPECT_EQ(answers[0].bad, 0U);
+    EXPECT_EQ(answers[1].version, "v2");
+    EXPECT_EQ(answers[1].answers, 2U);
+    EXPECT_EQ(answers[1].bad, 2U);
+    set_phase(deployment::rollout_phase::rolled_back, {"v2"});
+    EXPECT_TRUE(directory_.versions().answers().empty());
+}
+
 } // namespace
 } // namespace curranthoist::forwarding
--- /dev/null
+++ b/curranthoist/forwarding/version_rules.cpp
@@ -0,0 +1,145 @@
+#include "curranthoist/forwarding/version_rules.hpp"
+
+#include <functional>
+#include <set>
+
+namespace curranthoist::forwarding {
+
+namespace {
+
+// An answer that took more than this many times the usual latency counts as bad.
+constexpr std::int64_t bad_latency_factor = 3;
+
+double initial_credit(const std::string& own_name, const deployment::rollout& order)
+{
+    constexpr std::size_t parts = 1000;
+    const std::string text =
+        own_name + "|" + order.service.str() + "|" + order.target_version;
+    return static_cast<double>(std::hash<std::string>()(text) % parts) / parts;
+}
+
+} // namespace
+
+void version_rules::set_rollouts(std::span<const deployment::rollout> rollouts)
+{
+    std::set<base::service_id> named;
+    for (const deployment::rollout& one : rollouts) {
+        named.insert(one.service);
+        const auto known = services_.find(one.service);
+        if (known != services_.end() && known->second.order.same_order(one)) {
+            known->second.order = one;
+        }
+        else {
+            services_.insert_or_assign(
+                one.service,
+                service_rules{one, version_share(initial_credit(own_name_, one)), {}});
+        }
+    }
+    std::erase_if(services_,
+                  [&named](const auto& one) { return !named.contains(one.first); });
+}
+
+void version_rules::set_shares(std::span<const deployment::rollout_share> shares,
+                               base::instant named_at)
+{
+    for (auto& [service, rules] : services_) {
+        double share = 0.0;
+        for (const deployment::rollout_share& one : shares) {
+            if (one.service == service &&
+                one.target_version == rules.order.target_version) {
+                share = one.share;
+            }
+        }
+        rules.share.set(share, named_at);
+    }
+}
+
+const version_rules::service_rules*
+version_rules::find_running(const base::service_id& service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ||
+                   found->second.order.phase != deployment::rollout_phase::running
+               ? nullptr
+               : &found->second;
+}
+
+version_rules::service_rules* version_rules::find_running(const base::service_id& service)
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ||
+                   found->second.order.phase != deployment::rollout_phase::running
+               ? nullptr
+               : &found->second;
+}
+
+bool version_rules::is_allowed(const base::service_id& service,
+                               const std::string& version, base::instant now) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return true;
+    }
+    const service_rules& rules = found->second;
+    if (rules.order.excluded_versions.contains(version)) {
+        return false;
+    }
+    return rules.order.phase != deployment::rollout_phase::running ||
+           version != rules.order.target_version || rules.share.is_open(now);
+}
+
+const std::string* version_rules::running_version(const base::service_id& service) const
+{
+    const service_rules* const rules = find_running(service);
+    return rules == nullptr ? nullptr : &rules->order.target_version;
+}
+
+bool version_rules::allows_next(const base::service_id& service, base::instant now) const
+{
+    const service_rules* const rules = find_running(service);
+    return rules != nullptr && rules->share.allows_next(now);
+}
+
+void version_rules::on_sent(const base::service_id& service, const std::string& version,
+                            base::instant now)
+{
+    if (service_rules* const rules = find_running(service)) {
+        rules->share.on_sent(version == rules->order.target_version, now);
+    }
+}
+
+void version_rules::on_answer(const base::service_id& service, const std::string& version,
+                              response_kind kind, base::duration latency,
+                              base::duration expected_latency)
+{
+    service_rules* const rules = find_running(service);
+    if (rules == nullptr || certainly_not_run(kind)) {
+        return;
+    }
+    const bool is_late = expected_latency > base::duration() &&
+                         latency > expected_latency * bad_latency_factor;
+    // Most cancelled calls lost against a faster one and say nothing of the target.
+    const bool is_cancelled = kind == response_kind::cancelled;
+    if (is_cancelled && !is_late) {
+        return;
+    }
+    deployment::version_answers& counts = rules->answers[version];
+    ++counts.answers;
+    counts.bad += is_late || (!is_cancelled && kind != response_kind::success) ? 1 : 0;
+}
+
+std::vector<deployment::version_answers> version_rules::answers() const
+{
+    std::vector<deployment::version_answers> result;
+    for (const auto& [service, rules] : services_) {
+        if (rules.order.phase != deployment::rollout_phase::running) {
+            continue;
+        }
+        for (const auto& [version, counts] : rules.answers) {
+            result.push_back({service, version, counts.answers, counts.bad});
+        }
+    }
+    return result;
+}
+
+} // namespace curranthoist::forwarding
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -224,6 +224,11 @@
         team_admission_.on_leader(clock_.now());
         team_admission_.set_shares(shares);
     };
+    on.on_rollout_shares = [this](std::span<const deployment::rollout_share> shares,
+                                  base::instant at) {
+        context_.directory.versions().set_shares(shares, at);
+    };
+    on.answers_by_version = [this] { return context_.directory.versions().answers(); };
     on.team_uses = [this] { return team_admission_.take_uses(); };
     return on;
 }
@@ -231,6 +236,7 @@
 void front_process::on_state(const coreclient::received_state& state)
 {
     context_.directory.set_evacuated(state.evacuated, clock_.now());
+    context_.directory.versions().set_rollouts(state.rollouts);
     withdraw_unsent(clock_.now());
     if (state.version <= configuration_.offered_version()) {
         key_lease_.hold(state.index);
--- a/curranthoist/platform/node_settings.cpp
+++ b/curranthoist/platform/node_settings.cpp
@@ -253,6 +253,8 @@
     result.extra_window = values.seconds("bounds.retry_window_s", result.extra_window);
     result.cold_factor = values.number("bounds.cold_burst_factor", result.cold_factor);
     result.cold_slack = values.number("bounds.cold_slack", result.cold_slack);
+    result.exposure_share = values.number("bounds.exposure_share", result.exposure_share);
+    result.exposure_slack = values.number("bounds.exposure_slack", result.exposure_slack);
     values.throw_if_any();
     return result;
 }
--- a/curranthoist/platform/node_settings.hpp
+++ b/curranthoist/platform/node_settings.hpp
@@ -71,6 +71,10 @@
     // rate times cold_factor, and cold_slack.
     double cold_factor = 1.0;
     double cold_slack = 0.0;
+    // A bad version in a roll-out may get this part of its service's requests, and this
+    // number on top.
+    double exposure_share = 0.1;
+    double exposure_slack = 50.0;
 };
 
 // Reads the settings file whose path the platform leaves in the environment. Throws
--- a/curranthoist/platform/operator_call.cpp
+++ b/curranthoist/platform/operator_call.cpp
@@ -2,35 +2,53 @@
 
 namespace curranthoist::platform {
 
+namespace {
+
+// The part of `path` between a prefix and a suffix, if it is one segment; otherwise
+// empty.
+std::string_view segment_between(std::string_view path, std::string_view prefix,
+                                 std::string_view suffix)
+{
+    if (path.size() < prefix.size() + suffix.size() || !path.starts_with(prefix) ||
+        !path.ends_with(suffix)) {
+        return {};
+    }
+    path.remove_prefix(prefix.size());
+    path.remove_suffix(suffix.size());
+    return path.find('/') == std::string_view::npos ? path : std::string_view();
+}
+
+} // namespace
+
 operator_call decode_operator_call(std::string_view method, std::string_view path)
 {
-    constexpr std::string_view evacuation = "/v1/evacuation/";
-    constexpr std::string_view start = "/start";
-    constexpr std::string_view end = "/end";
     path = path.substr(0, path.find('?'));
     if (method == "GET" && path == "/v1/configuration/get") {
         return read_configuration_call();
     }
+    if (method == "GET") {
+        const auto service = segment_between(path, "/v1/rollouts/", "/get");
+        return service.empty()
+                   ? operator_call(unknown_call())
+                   : operator_call(read_rollout_call{base::service_id(service)});
+    }
     if (method != "POST") {
         return unknown_call();
     }
     if (path == "/v1/configuration/replace") {
         return replace_configuration_call();
     }
-    if (!path.starts_with(evacuation)) {
-        return unknown_call();
+    if (path == "/v1/rollouts/start") {
+        return start_rollout_call();
     }
-    const std::string_view rest = path.substr(evacuation.size());
-    const bool starts = rest.ends_with(start);
-    if (!starts && !rest.ends_with(end)) {
-        return unknown_call();
-    }
-    const std::string_view zone =
-        rest.substr(0, rest.size() - (starts ? start.size() : end.size()));
-    if (zone.empty() || zone.find('/') != std::string_view::npos) {
-        return unknown_call();
+    for (const bool starts : {true, false}) {
+        const auto zone =
+            segment_between(path, "/v1/evacuation/", starts ? "/start" : "/end");
+        if (!zone.empty()) {
+            return evacuation_call{base::zone_id(zone), starts};
+        }
     }
-    return evacuation_call{base::zone_id(zone), starts};
+    return unknown_call();
 }
 
 } // namespace curranthoist::platform
--- a/curranthoist/platform/operator_call.hpp
+++ b/curranthoist/platform/operator_call.hpp
@@ -18,10 +18,17 @@
     // False withdraws the evacuation.
     bool start = true;
 };
+struct start_rollout_call
+{};
+struct read_rollout_call
+{
+    base::service_id service;
+};
 struct unknown_call
 {};
-using operator_call = std::variant<unknown_call, replace_configuration_call,
-                                   read_configuration_call, evacuation_call>;
+using operator_call =
+    std::variant<unknown_call, replace_configuration_call, read_configuration_call,
+                 evacuation_call, start_rollout_call, read_rollout_call>;
 
 // Reads method and path of an operator's request.
 operator_call decode_operator_call(std::string_view method, std::string_view path);
--- a/curranthoist/testing/platform/stand_in_platform.cpp
+++ b/curranthoist/testing/platform/stand_in_platform.cpp
@@ -146,7 +146,7 @@
              {"service", one->listed.service},
              {"address", one->listed.listed_address.value_or(one->listed.address).str()},
              {"zone", one->listed.zone},
-             {"version", "v1"},
+             {"version", one->listed.version},
              {"slots", 2},
              {"state", one->listed.state},
              {"cold_remaining_ms", one->listed.cold_ms}});
--- a/curranthoist/testing/platform/stand_in_platform.hpp
+++ b/curranthoist/testing/platform/stand_in_platform.hpp
@@ -58,6 +58,7 @@
         base::duration work = {};
         // Its answers have bodies of this size; 0 for the records of its service.
         std::size_t answer_bytes = 0;
+        std::string version = "v1";
     };
     struct run
     {
