Test a roll-out across the loss of the leader

Cause: no test had a new leader judge a roll-out. Change: rollout_path_test kills the leader and lets the version turn bad. The bound is the stated one, 0.1 of all requests of the service and 50.

--- a/curranthoist/testing/platform/rollout_path_test.cpp
+++ b/curranthoist/testing/platform/rollout_path_test.cpp
@@ -4,12 +4,16 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 
 namespace curranthoist::testing {
 namespace {
 
-constexpr unsigned duration_s = 10;
+constexpr std::int64_t duration_s = 10;
+// Requests that a bad version may get: this part of all to its service, and this number.
+constexpr double exposure_share = 0.1;
+constexpr double exposure_slack = 50;
 
 // Roll-outs through real processes: the order, the list's versions, the fronts' counts
 // and shares, and the end.
@@ -134,6 +138,32 @@
     EXPECT_EQ(runs_of_targets("new-"), new_runs);
 }
 
+// Guards against a new leader that doesn't judge, or that takes the earlier good answers
+// as a reason for a large share.
+TEST_F(rollout_path_test, a_new_leader_judges_what_turns_bad)
+{
+    start_with_new_targets();
+    ASSERT_TRUE(wait_until([&] { return order("single", "v2") == 200U; }));
+    wait_until(
+        [&] {
+            ask_next();
+            return false;
+        },
+        base::duration(2000));
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+        if (core_metric(vm, "curranthoist_core_leads") == 1) {
+            cores_[vm]->kill_now();
+        }
+    }
+    for (const char* const id : {"new-a", "new-b"}) {
+        platform_->set_behaviour(id, target_behaviour::fails);
+    }
+    EXPECT_EQ(send_until_ended(), "rolled_back");
+    const auto new_runs = static_cast<double>(runs_of_targets("new-"));
+    const auto old_runs = static_cast<double>(runs_of_targets("single-"));
+    EXPECT_LE(new_runs, exposure_share * (new_runs + old_runs) + exposure_slack);
+}
+
 // Guards against a wrong order that is acknowledged, a repeated one that is refused, and
 // an acknowledged one that is lost when all processes are killed.
 TEST_F(rollout_path_test, orders_are_checked_and_outlive_the_processes)
