--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/coreclient/core_links.hpp"
 
 #include "curranthoist/base/wall_clock.hpp"
+#include "curranthoist/deployment/rollout_codec.hpp"
 #include "curranthoist/wire/packed_text.hpp"
 
 #include <algorithm>
@@ -181,6 +182,16 @@
             report.team_uses.push_back(std::move(entry));
         }
     }
+    if (callbacks_.answers_by_version && leader_responds() && peer.address == leader_) {
+        for (const deployment::version_answers& one : callbacks_.answers_by_version()) {
+            auto entry = std::make_unique<wire::version_answers_message>();
+            entry->service = one.service.str();
+            entry->version = one.version;
+            entry->answers = one.answers;
+            entry->bad = one.bad;
+            report.answers_by_version.push_back(std::move(entry));
+        }
+    }
     peer.sent_reports[report.sequence] = peer.last_report;
     peer.dialer->send(std::move(report));
 }
@@ -265,6 +276,29 @@
     on_suspects(report);
     on_gatherers(report);
     on_team_answer(report, asked_at);
+    // Without that time the shares may be old: a process that was frozen reads what came
+    // meanwhile.
+    if (callbacks_.on_rollout_shares && asked_at) {
+        on_rollout_shares(report, *asked_at);
+    }
+}
+
+void core_links::on_rollout_shares(const wire::core_report& report,
+                                   base::instant asked_at)
+{
+    constexpr double per_10000 = 10'000.0;
+    std::vector<deployment::rollout_share> shares;
+    if (report.rollout_shares() != nullptr) {
+        for (const wire::rollout_share* one : *report.rollout_shares()) {
+            if (one->service() != nullptr && one->target_version() != nullptr) {
+                shares.push_back(
+                    {base::service_id(one->service()->str()),
+                     one->target_version()->str(),
+                     static_cast<double>(one->share_per_10000()) / per_10000});
+            }
+        }
+    }
+    callbacks_.on_rollout_shares(shares, asked_at);
 }
 
 void core_links::on_team_answer(const wire::core_report& report,
@@ -369,6 +403,7 @@
             state.evacuated.insert(base::zone_id(zone->str()));
         }
     }
+    state.rollouts = deployment::decode_rollouts(snapshot);
     log_.info("event=state_received member=" + peer.address.str() + " index=" +
               std::to_string(state.index) + " version=" + std::to_string(state.version));
     if (callbacks_.on_state) {
@@ -412,7 +447,8 @@
                 {base::target_id(text(entry->id())),
                  base::service_id(text(entry->service())),
                  base::zone_id(text(entry->zone())), *address, entry->draining(),
-                 base::duration(static_cast<std::int64_t>(entry->cold_ms()))});
+                 base::duration(static_cast<std::int64_t>(entry->cold_ms())),
+                 text(entry->version())});
         }
     }
     listing_term_ = listing.term();
