Number the calls of all clients of a target pool together

Cause: a request cancels a send by the target's id and the call's number. When an id came back with a new client, whose numbers began at 1 again, the number of an open call of the former client named another request's call.

--- a/curranthoist/frontd/target_pool.cpp
+++ b/curranthoist/frontd/target_pool.cpp
@@ -16,6 +16,7 @@
         found = std::make_unique<http::target_client>(loop_, address, max_connections);
         found->limit_memory(memory_);
         found->limit_sockets(sockets_);
+        found->share_numbers(last_call_);
         found->set_socket_handler(
             [this, id, &client = *found](http::target_client::call_number, bool) {
                 if (on_connections_) {
--- a/curranthoist/frontd/target_pool.hpp
+++ b/curranthoist/frontd/target_pool.hpp
@@ -45,7 +45,7 @@
     // The client of a target; created at the first call.
     http::target_client& client(const base::target_id& id, const base::endpoint& address,
                                 std::size_t max_connections);
-    // The client if there is one.
+    // The client if there is one. It knows no call of a former client of that id.
     [[nodiscard]] http::target_client* find(const base::target_id& id);
     // The targets are gone: their unsent calls are taken back, and their clients end once
     // the others have.
@@ -80,6 +80,10 @@
     ev::loop_ref loop_;
     std::shared_ptr<http::memory_account> memory_;
     std::shared_ptr<http::socket_budget> sockets_;
+    // Of all clients: a target's id can come back with a new client, and its calls must
+    // not have the numbers of the former one's.
+    std::shared_ptr<http::target_client::call_number> last_call_ =
+        std::make_shared<http::target_client::call_number>(0);
     // The client that closed an idle socket for another one last.
     base::target_id last_closed_;
     connection_handler on_connections_;
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -74,7 +74,7 @@
 
 target_client::call_number target_client::start(target_call call, result_handler on_done)
 {
-    const call_number number = ++last_call_;
+    const call_number number = ++*last_call_;
     auto current = std::make_unique<running_call>(loop_);
     current->number = number;
     current->call = std::move(call);
--- a/curranthoist/http/target_client.hpp
+++ b/curranthoist/http/target_client.hpp
@@ -91,6 +91,12 @@
     {
         sockets_ = std::move(sockets);
     }
+    // Numbers the calls together with other clients, so that a number names one call of
+    // all of them. To be called before the first call.
+    void share_numbers(std::shared_ptr<call_number> last_call)
+    {
+        last_call_ = std::move(last_call);
+    }
     // Closes a connection that serves no call; returns false if there is none.
     bool close_idle();
     // Lets calls go on that waited for a socket of the shared limit.
@@ -162,7 +168,7 @@
     std::shared_ptr<socket_budget> sockets_;
     ev::timer delivery_timer_;
     std::uint64_t last_connection_ = 0;
-    call_number last_call_ = 0;
+    std::shared_ptr<call_number> last_call_ = std::make_shared<call_number>(0);
     std::size_t peak_sockets_ = 0;
     // By descriptor.
     std::map<int, connection_pointer> connections_;
