Close a connection behind a rejection that names no request

Cause: the connection was kept if the call had named its attempt, also when the rejection did not. A late copy of such a rejection was taken for the answer to the next order there, which was sent once more while it ran.

target_client_test: a check expected the connection to be kept behind a rejection without a name; it was wrong, and now expects a new connection there and a kept one behind a rejection with a name.

--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -470,7 +470,7 @@
     const bool all_sent = connection.has_sent_all();
     // A late copy of a rejection that names no request could not be told from the answer
     // to the next one.
-    const bool is_named = call.call.headers.contains(call.call.id_header);
+    const bool is_named = call.result.headers.contains(call.call.id_header);
     const bool is_recognisable = is_named || call.result.status < status::first_redirect;
     const bool keep = outcome == call_outcome::ok && all_sent && is_recognisable &&
                       connection.reader->may_keep_connection() &&
--- a/curranthoist/http/target_client_test.cpp
+++ b/curranthoist/http/target_client_test.cpp
@@ -543,8 +543,8 @@
     EXPECT_EQ(server_.connections, 1);
 }
 
-// Guards against a late copy of a rejected health request's answer, which names no
-// request, that is taken for the answer to the next one.
+// Guards against a late copy of a rejection which names no request, as those of health
+// requests, that is taken for the answer to the next request.
 TEST_F(target_client_test, a_connection_is_not_used_behind_a_rejection_without_a_name)
 {
     respond_with("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
@@ -553,7 +553,10 @@
     const target_call named{.headers = {{"Request-Id", "a"}}};
     const target_result first = call(named);
     EXPECT_NE(first.connection, unnamed.connection);
-    EXPECT_EQ(call(named).connection, first.connection);
+    respond_with("HTTP/1.1 503 Full\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n");
+    const target_result second = call(named);
+    EXPECT_NE(second.connection, first.connection);
+    EXPECT_EQ(call(named).connection, second.connection);
 }
 
 TEST_F(target_client_test, fresh_connections_stay_within_the_cap)
