Send an order without a name on a connection of its own

Cause: a call without Attempt-Id took any response for its own, also the late copy of another order's rejection on a kept connection, and was sent once more while it ran.

rejection_order_test, variant order_without_name: failed before (rejected three times, second order, copies); now 11466 orders pass, with 3966 copies beside a later send.

--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -189,7 +189,11 @@
     const base::instant now = clock_.now();
     const deployment::listed_target* target = context_.directory.find(action.target);
     const bool may_run_once = route_.repeat == deployment::repeat_rule::at_most_once;
-    const bool needs_own_connection = may_run_once && sends_.has_sent_to(action.target);
+    // On the connection of the first send, a late copy of its rejection could not be told
+    // from the answer to this one: both name the same attempt. The answer to a request
+    // without a name can't be told from a copy of any other.
+    const bool needs_own_connection =
+        may_run_once && (request_.attempt.empty() || sends_.has_sent_to(action.target));
     target_send& sent = sends_.add(action.call);
     sent.shard = action.shard;
     sent.target = action.target;
@@ -200,8 +204,6 @@
     http::target_client& client = context_.client_of(*target, table_->source());
     http::target_call call = platform::encode_target_call(request_, action.target, left);
     call.checks_connection = may_run_once;
-    // On the connection of the first send, a late copy of its rejection could not be told
-    // from the answer to this one: both name the same attempt.
     call.fresh_connection = needs_own_connection;
     sent.number =
         client.start(std::move(call), [weak = weak_from_this(),
--- a/curranthoist/frontd/rejection_order_test.cpp
+++ b/curranthoist/frontd/rejection_order_test.cpp
@@ -495,7 +495,8 @@
                          testing::Values(variant{"named", true, true, 4},
                                          variant{"one_connection", true, true, 1},
                                          variant{"rejections_without_name", false, true,
-                                                 4}),
+                                                 4},
+                                         variant{"order_without_name", true, false, 4}),
                          [](const auto& one) { return std::string(one.param.name); });
 
 } // namespace
