--- a/curranthoist/testing/fuzz/seeds.cpp
+++ b/curranthoist/testing/fuzz/seeds.cpp
@@ -290,6 +290,61 @@
     return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
+// One step of one connection, as http_edge_fuzz reads it.
+void add_step(bytes& input, std::uint8_t action, std::uint8_t repeats,
+              std::string_view content)
+{
+    bytes chunk{action, repeats};
+    chunk.insert(chunk.end(), content.begin(), content.end());
+    add_chunk(input, chunk);
+}
+
+// Heads, bodies with a length and in chunks, in pieces, kept, answered late, sent ahead,
+// cut off and with long responses.
+inputs http_edge_inputs()
+{
+    constexpr std::uint8_t answer_one = 0x04;
+    constexpr std::uint8_t read = 0x08;
+    constexpr std::uint8_t end = 0x10;
+    constexpr std::uint8_t reset = 0x20;
+    constexpr std::uint8_t many = 15;
+    const std::string kilobyte(1024, 'b');
+    const std::string long_head =
+        "POST /keep HTTP/1.1\r\nHost: h\r\nContent-Length: 12288\r\n\r\n";
+    const std::string chunked_head =
+        "POST /keep HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    bytes ahead;
+    add_step(ahead, 0, many, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    add_step(ahead, read, many, "GET /long HTTP/1.1\r\nHost: h\r\n\r\n");
+    bytes stopped;
+    for (std::uint8_t caller = 0; caller < 4; ++caller) {
+        add_step(stopped, caller, 0, long_head);
+        add_step(stopped, caller, 10, kilobyte);
+    }
+    add_step(stopped, 1, 0, kilobyte);
+    bytes kept;
+    for (std::uint8_t caller = 0; caller < 2; ++caller) {
+        add_step(kept, caller, 0, long_head);
+        add_step(kept, caller, 11, kilobyte);
+    }
+    add_step(kept, answer_one | read, 0, "");
+    add_step(kept, 1 | reset, 0, "");
+    add_step(kept, 2 | end, 0, long_head);
+    bytes chunked;
+    add_step(chunked, 0, 0, chunked_head);
+    add_step(chunked, 0, 8, "400\r\n" + kilobyte + "\r\n");
+    add_step(chunked, 0, 0, "0\r\n\r\n");
+    add_step(chunked, 1, 0, chunked_head);
+    add_step(chunked, 1, many, "400\r\n" + kilobyte + "\r\n");
+    bytes refused;
+    add_step(refused, 0, 0,
+             "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999\r\n\r\n");
+    add_step(refused, 1, 0,
+             "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 8000\r\n\r\n");
+    add_step(refused, 2, many, "X-Long: " + kilobyte + "\r\n");
+    return {ahead, stopped, kept, chunked, refused};
+}
+
 // Statuses 200 and 503 with the headers that the adapter reads.
 inputs health_answer_inputs()
 {
@@ -346,6 +401,7 @@
              {frames(hello("vm1"), heartbeat(1), cancel),
               frames(heartbeat(1), wire::vote_reply_message{})}},
             {"health_answer_fuzz", health_answer_inputs()},
+            {"http_edge_fuzz", http_edge_inputs()},
             {"log_store_fuzz", log_store_inputs()},
             {"operator_api_fuzz", operator_inputs()},
             {"settings_fuzz",
