--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -74,7 +74,7 @@
 
 target_client::call_number target_client::start(target_call call, result_handler on_done)
 {
-    const call_number number = ++last_call_;
+    const call_number number = ++*last_call_;
     auto current = std::make_unique<running_call>(loop_);
     current->number = number;
     current->call = std::move(call);
@@ -487,7 +487,7 @@
     const bool all_sent = connection.has_sent_all();
     // A late copy of a rejection that names no request could not be told from the answer
     // to the next one.
-    const bool is_named = call.call.headers.contains(call.call.id_header);
+    const bool is_named = call.result.headers.contains(call.call.id_header);
     const bool is_recognisable = is_named || call.result.status < status::first_redirect;
     const bool keep = outcome == call_outcome::ok && all_sent && is_recognisable &&
                       connection.reader->may_keep_connection() &&
