--- a/curranthoist/testing/greedy_callers.cpp
+++ b/curranthoist/testing/greedy_callers.cpp
@@ -4,6 +4,7 @@
 #include "curranthoist/base/socket_address.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <vector>
 
@@ -55,9 +56,13 @@
     setsockopt(one.descriptor, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
                sizeof receive_bytes);
     const sockaddr_in address = base::socket_address(plan_.server);
-    ::connect(one.descriptor, reinterpret_cast<const sockaddr*>(&address),
-              sizeof address);
     ++opened_;
+    if (::connect(one.descriptor, reinterpret_cast<const sockaddr*>(&address),
+                  sizeof address) != 0 &&
+        errno != EINPROGRESS) {
+        ::close(one.descriptor);
+        one.descriptor = -1;
+    }
 }
 
 void greedy_callers::send_piece(connection& one)
