--- a/curranthoist/testing/platform/greedy_callers_test.cpp
+++ b/curranthoist/testing/platform/greedy_callers_test.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::size_t memory_mb = 64;
-constexpr std::size_t max_memory_bytes = memory_mb * 1024 * 1024;
+[[maybe_unused]] constexpr std::size_t max_memory_bytes = memory_mb * 1024 * 1024;
 constexpr std::size_t max_descriptors = 600;
 constexpr std::size_t body_bytes = 262'144;
 constexpr std::size_t crowd_size = 300;
