Count a front as ready only once it can check keys

Callers saw: orders with a valid key were refused with 503 ("keys can't be confirmed now") by VMs that had just told the load balancer that they were ready.

Cause: is_ready() asked for a configuration and a list only. With a bound on withdrawn keys a front accepts keys while a quorum confirms its state, and the first confirmation comes with a later answer of the leader.

Why it works: without its first lease a front with teams isn't ready, so the balancer sends it no callers. A lease that lapses later does not withdraw the readiness, since public routes go on.

--- a/curranthoist/forwarding/key_lease.hpp
+++ b/curranthoist/forwarding/key_lease.hpp
@@ -44,6 +44,8 @@
         renew();
     }
 
+    // True once the lease was valid, or without a bound.
+    [[nodiscard]] bool has_begun() const { return !bound_ || renewed_at_; }
     [[nodiscard]] bool is_valid(base::instant now) const
     {
         return !bound_ || (renewed_at_ && now < *renewed_at_ + used_time());
--- a/curranthoist/forwarding/key_lease_test.cpp
+++ b/curranthoist/forwarding/key_lease_test.cpp
@@ -16,10 +16,12 @@
 {
     key_lease lease(bound);
     EXPECT_FALSE(lease.is_valid(start));
+    EXPECT_FALSE(lease.has_begun());
     lease.hold(4);
     lease.confirm(4, start);
     EXPECT_TRUE(lease.is_valid(start + used - 1_ms));
     EXPECT_FALSE(lease.is_valid(start + used));
+    EXPECT_TRUE(lease.has_begun());
     lease.confirm(4, start + 2000_ms);
     EXPECT_TRUE(lease.is_valid(start + 2000_ms + used - 1_ms));
 }
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -407,8 +407,13 @@
 
 bool front_process::is_ready() const
 {
-    return configuration_.current() && context_.directory.has_listing() &&
-           stop_begun_ == base::instant::max();
+    if (!configuration_.current() || !context_.directory.has_listing() ||
+        stop_begun_ != base::instant::max()) {
+        return false;
+    }
+    // A lease that ended later leaves the VM ready: public routes go on, and the other
+    // VMs most likely have lost the core as well.
+    return newest_table().teams().empty() || key_lease_.has_begun();
 }
 
 void front_process::set_gauges()
--- a/curranthoist/testing/platform/team_test.cpp
+++ b/curranthoist/testing/platform/team_test.cpp
@@ -118,6 +118,17 @@
     EXPECT_TRUE(wait_until([&] { return order(0, "key-1", "back").status == 200U; }));
 }
 
+// Guards against a VM that the load balancer sends callers to although it can't check
+// their keys yet.
+TEST_F(team_test, a_vm_that_is_ready_takes_keys)
+{
+    ASSERT_TRUE(replace(with_teams(7, {"key-1"})));
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+        ASSERT_TRUE(ready(vm));
+        EXPECT_EQ(order(vm, "key-1", "first-" + std::to_string(vm)).status, 200U) << vm;
+    }
+}
+
 // Guards against a limit that each VM grants for itself.
 TEST_F(team_test, the_limit_holds_over_all_vms)
 {
