--- a/curranthoist/base/latency_tracker.hpp
+++ b/curranthoist/base/latency_tracker.hpp
@@ -11,7 +11,7 @@
 {
 public:
     // Without enough samples a percentile says nothing, so hedging starts late.
-    static constexpr std::size_t least_samples = 20;
+    static constexpr std::size_t min_samples = 20;
     static constexpr base::duration without_history{100};
     // The percentile is recomputed once per so many samples.
     static constexpr int samples_per_update = 16;
--- a/curranthoist/forwarding/part_latencies.cpp
+++ b/curranthoist/forwarding/part_latencies.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // With fewer parts than this at an age, nothing is said about what follows.
-constexpr double least_reached = 20;
+constexpr double min_reached = 20;
 // All samples lose half of their weight when their sum reaches this.
 constexpr double max_weight = 4096;
 // The distribution is recomputed once per so many samples.
@@ -72,7 +72,7 @@
     if (time <= base::duration()) {
         return 0;
     }
-    if (reached_[from] < least_reached || out_before_[from] <= 0) {
+    if (reached_[from] < min_reached || out_before_[from] <= 0) {
         return 1;
     }
     return 1 - out_before_[bin_of(age + time) + 1] / out_before_[from];
--- a/curranthoist/forwarding/query_end.hpp
+++ b/curranthoist/forwarding/query_end.hpp
@@ -25,12 +25,12 @@
     {
         // An answer is worth the square of the share of its shards.
         const double gain_per_shard = (2 * answered_ + 1) / (answered_ * answered_);
-        return answered_ > 0 && expected_shards_ * gain_per_shard < least_gain;
+        return answered_ > 0 && expected_shards_ * gain_per_shard < min_gain;
     }
 
 private:
     // Part of the answer's worth that is worth the wait.
-    static constexpr double least_gain = 0.01;
+    static constexpr double min_gain = 0.01;
 
     double answered_;
     double expected_shards_ = 0;
--- a/curranthoist/forwarding/request_action.hpp
+++ b/curranthoist/forwarding/request_action.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -20,6 +21,8 @@
     base::target_id target;
     // Reason for the send: "first", "retry" or "hedge".
     const char* reason = "first";
+
+    [[nodiscard]] bool is_first() const { return std::string_view(reason) == "first"; }
 };
 
 // Sends the request to one target of each of these shards through a gatherer, which
--- a/curranthoist/forwarding/request_attempts.cpp
+++ b/curranthoist/forwarding/request_attempts.cpp
@@ -291,7 +291,7 @@
 
 base::instant request_attempts::send_deadline() const
 {
-    return timing_.hard_deadline - timing_.least_answer_time;
+    return timing_.hard_deadline - timing_.min_answer_time;
 }
 
 void request_attempts::recall_if_due(base::instant now,
--- a/curranthoist/forwarding/request_attempts.hpp
+++ b/curranthoist/forwarding/request_attempts.hpp
@@ -32,7 +32,7 @@
     base::duration report_limit;
     // What an answer takes at least. With less than this before the hard deadline,
     // nothing is sent any more; 0 if it is not known.
-    base::duration least_answer_time;
+    base::duration min_answer_time;
 };
 
 // Decides how one caller's request proceeds: which target gets it, when it is sent again,
--- a/curranthoist/forwarding/request_attempts_test.cpp
+++ b/curranthoist/forwarding/request_attempts_test.cpp
@@ -46,7 +46,7 @@
         directory_.apply({.targets = targets, .read_at = now_});
         attempts_.emplace(route_, services,
                           request_timing{now_, now_ + duration(100), now_ + duration(800),
-                                         duration(30), duration(60), least_answer_time_},
+                                         duration(30), duration(60), min_answer_time_},
                           directory_, budget_, std::move(groups), latencies_);
         record(attempts_->start(now_));
     }
@@ -82,7 +82,7 @@
     }
 
     instant now_{1'000'000};
-    duration least_answer_time_{0};
+    duration min_answer_time_{0};
     const part_latencies* latencies_ = nullptr;
     deployment::route route_;
     target_directory directory_{{base::zone_id("z"), "vm-1", duration(800)}};
@@ -174,7 +174,7 @@
 // the time that is left.
 TEST_F(request_attempts_test, a_request_that_is_too_late_is_refused_at_once)
 {
-    least_answer_time_ = duration(801);
+    min_answer_time_ = duration(801);
     begin(1, repeat_rule::at_most_once, 0.89, {{base::vm_id("g"), {0}}});
     EXPECT_TRUE(sends_.empty());
     EXPECT_TRUE(gathers_.empty());
@@ -186,7 +186,7 @@
 // send to another target then.
 TEST_F(request_attempts_test, a_waiting_call_is_taken_back_when_it_is_too_late)
 {
-    least_answer_time_ = duration(100);
+    min_answer_time_ = duration(100);
     begin(1, repeat_rule::at_most_once);
     advance(699);
     EXPECT_TRUE(recalled_.empty());
@@ -204,7 +204,7 @@
 // so that its cancellation can't tell any more that it was not sent.
 TEST_F(request_attempts_test, a_call_is_not_taken_back_twice_at_the_deadline)
 {
-    least_answer_time_ = duration(100);
+    min_answer_time_ = duration(100);
     begin(1, repeat_rule::at_most_once);
     advance(800);
     EXPECT_TRUE(recalled_.empty());
@@ -214,7 +214,7 @@
 // Guards against a call that was sent in time and is ended early.
 TEST_F(request_attempts_test, a_call_that_was_sent_goes_on_until_the_deadline)
 {
-    least_answer_time_ = duration(100);
+    min_answer_time_ = duration(100);
     begin(1, repeat_rule::repeatable);
     advance(750);
     EXPECT_FALSE(finish_);
--- a/curranthoist/forwarding/send_margin.hpp
+++ b/curranthoist/forwarding/send_margin.hpp
@@ -22,7 +22,7 @@
     void add(base::duration took)
     {
         window_.add(took);
-        if (window_.size() >= least_samples && ++since_update_ >= samples_per_update) {
+        if (window_.size() >= min_samples && ++since_update_ >= samples_per_update) {
             since_update_ = 0;
             usual_ = window_.quantile(percent).value_or(base::duration());
         }
@@ -39,7 +39,7 @@
     static constexpr base::duration way{11};
     // A process that needs more is overloaded; answers with few parts don't help it.
     static constexpr std::int64_t max_part_of_objective = 3;
-    static constexpr std::size_t least_samples = 20;
+    static constexpr std::size_t min_samples = 20;
     static constexpr int samples_per_update = 16;
     static constexpr int percent = 90;
 
--- a/curranthoist/frontd/gather_task.cpp
+++ b/curranthoist/frontd/gather_task.cpp
@@ -228,7 +228,7 @@
 
 base::instant gather_task::send_deadline() const
 {
-    return deadline_ - latency_.least_answer_time(objective_);
+    return deadline_ - latency_.min_answer_time(objective_);
 }
 
 void gather_task::withdraw_late()
--- a/curranthoist/frontd/late_request_replay_test.cpp
+++ b/curranthoist/frontd/late_request_replay_test.cpp
@@ -146,7 +146,7 @@
         request_timing timing{now_,          now_ + objective, now_ + time_limit,
                               duration(100), duration(100),    duration(0)};
         if (settles_) {
-            timing.least_answer_time = latency_.least_answer_time(objective);
+            timing.min_answer_time = latency_.min_answer_time(objective);
         }
         one.run = std::make_unique<request_attempts>(once ? once_ : safe_,
                                                      std::vector{base::service_id("s")},
--- /dev/null
+++ b/curranthoist/frontd/process_limits.cpp
@@ -0,0 +1,70 @@
+#include "curranthoist/frontd/process_limits.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace curranthoist::frontd {
+
+namespace {
+
+constexpr std::size_t max_caller_connections = 2500;
+// Descriptors that the platform keeps for files.
+constexpr std::size_t reserved_descriptors = 200;
+// The part of the process's memory that callers' connections may take.
+constexpr std::size_t caller_memory_divisor = 4;
+// The part that the bodies of targets' responses may fill.
+constexpr std::size_t response_memory_divisor = 8;
+// The part that the bodies of callers' requests may fill.
+constexpr std::size_t request_memory_divisor = 8;
+// The part that open requests may take besides their bodies, and what one send to a
+// target takes of it.
+constexpr std::size_t send_memory_divisor = 4;
+constexpr std::size_t bytes_for_send = std::size_t{4} * 1024;
+// The part of the connections that have no open request, so that one of them can make
+// room for a new caller.
+constexpr std::size_t idle_connection_divisor = 4;
+// Longer than callers keep an idle connection, so that they close it first.
+constexpr unsigned idle_seconds = 60;
+
+} // namespace
+
+std::size_t descriptor_share(const platform::node_settings& settings)
+{
+    const std::size_t usable =
+        std::max(settings.max_descriptors, 2 * reserved_descriptors) -
+        reserved_descriptors;
+    return usable * 3 / 8;
+}
+
+std::size_t response_memory(const platform::node_settings& settings)
+{
+    return settings.memory_bytes / response_memory_divisor;
+}
+
+http::caller_server_options
+caller_options(const platform::node_settings& settings,
+               std::shared_ptr<http::memory_account> response_memory)
+{
+    http::caller_server_options result;
+    result.listen = *settings.callers;
+    const std::size_t connections =
+        settings.memory_bytes / caller_memory_divisor /
+        http::caller_server::connection_bytes(result.max_header_bytes);
+    result.max_connections = static_cast<unsigned>(
+        std::min({connections, descriptor_share(settings), max_caller_connections}));
+    result.idle_seconds = idle_seconds;
+    result.max_request_memory =
+        std::max(settings.memory_bytes / request_memory_divisor, max_caller_body_bytes);
+    result.response_memory = std::move(response_memory);
+    return result;
+}
+
+forwarding::open_request_limit::options
+open_request_options(const platform::node_settings& settings)
+{
+    const std::size_t connections = caller_options(settings, nullptr).max_connections;
+    return {connections - connections / idle_connection_divisor,
+            settings.memory_bytes / send_memory_divisor / bytes_for_send};
+}
+
+} // namespace curranthoist::frontd
--- /dev/null
+++ b/curranthoist/frontd/process_limits.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "curranthoist/deployment/configuration_bounds.hpp"
+#include "curranthoist/forwarding/open_request_limit.hpp"
+#include "curranthoist/http/caller_server.hpp"
+#include "curranthoist/platform/node_settings.hpp"
+
+#include <cstddef>
+#include <memory>
+
+namespace curranthoist::frontd {
+
+// What one front process may hold at once, by the memory and descriptors of its VM.
+
+// Bodies are kept in memory, so that the operators' limit holds only below this one.
+constexpr std::size_t max_caller_body_bytes =
+    deployment::configuration_bounds().max_body_bytes;
+
+// The descriptors that callers' connections may take, and those to targets.
+[[nodiscard]] std::size_t descriptor_share(const platform::node_settings& settings);
+
+// The memory that the bodies of targets' responses may fill; their buffers may take twice
+// as much.
+[[nodiscard]] std::size_t response_memory(const platform::node_settings& settings);
+
+// The settings must have the address for callers.
+[[nodiscard]] http::caller_server_options
+caller_options(const platform::node_settings& settings,
+               std::shared_ptr<http::memory_account> response_memory);
+
+[[nodiscard]] forwarding::open_request_limit::options
+open_request_options(const platform::node_settings& settings);
+
+} // namespace curranthoist::frontd
--- a/curranthoist/frontd/request_sends.cpp
+++ b/curranthoist/frontd/request_sends.cpp
@@ -84,7 +84,7 @@
 request_sends::targets_without_answer(const forwarding::request_attempts& run) const
 {
     // Bounds the line when a whole zone is gone.
-    constexpr std::size_t most_named = 6;
+    constexpr std::size_t max_named = 6;
     std::map<std::size_t, const target_send*> last;
     for (const auto& [call, sent] : sends_) {
         const target_send*& known = last[sent.shard];
@@ -94,7 +94,7 @@
     std::string text;
     std::size_t named = 0;
     for (const auto& [shard, sent] : last) {
-        if (!sent->succeeded() && named++ < most_named) {
+        if (!sent->succeeded() && named++ < max_named) {
             text += (text.empty() ? "" : ",") + run.service_of(shard).str() + "@" +
                     (sent->group && sent->target.empty()
                          ? groups_[*sent->group].gatherer.str()
--- a/curranthoist/frontd/request_sends.hpp
+++ b/curranthoist/frontd/request_sends.hpp
@@ -35,6 +35,7 @@
     std::size_t add_group(group_send group);
     [[nodiscard]] group_send& group(std::size_t index) { return groups_[index]; }
     [[nodiscard]] std::span<group_send> groups() { return groups_; }
+    [[nodiscard]] std::span<const group_send> groups() const { return groups_; }
     // Returns true if the gatherer has reported each of the group's calls.
     [[nodiscard]] bool is_complete(const group_send& group) const;
 
--- a/curranthoist/frontd/route_latency.hpp
+++ b/curranthoist/frontd/route_latency.hpp
@@ -26,9 +26,9 @@
     [[nodiscard]] base::duration usual() const { return tracker_.median(); }
     // With less time left, an answer in time is unlikely: the median, within a part of
     // the objective; 0 without history.
-    [[nodiscard]] base::duration least_answer_time(base::duration objective) const
+    [[nodiscard]] base::duration min_answer_time(base::duration objective) const
     {
-        return std::min(tracker_.median(), objective / least_time_divisor);
+        return std::min(tracker_.median(), objective / min_time_divisor);
     }
     // When a request to another target is worth its cost: after the 95th percentile, and
     // early enough for the second answer to meet the objective.
@@ -36,7 +36,7 @@
     {
         const base::duration latest = base::duration(static_cast<std::int64_t>(
             static_cast<double>(objective.count()) * latest_part_of_objective));
-        return std::max(least_hedge, std::min(tracker_.p95() + hedge_margin, latest));
+        return std::max(min_hedge, std::min(tracker_.p95() + hedge_margin, latest));
     }
 
 private:
@@ -44,10 +44,10 @@
     static constexpr double latest_part_of_objective = 0.4;
     // Bounds the time, because the median also contains waits for connections, and has no
     // new samples if every request is refused.
-    static constexpr std::int64_t least_time_divisor = 4;
+    static constexpr std::int64_t min_time_divisor = 4;
     // An answer at the percentile itself needs no hedge.
     static constexpr base::duration hedge_margin{3};
-    static constexpr base::duration least_hedge{10};
+    static constexpr base::duration min_hedge{10};
 
     base::latency_tracker tracker_;
     forwarding::part_latencies parts_;
