Let connections follow a raised limit of heads

A configuration with max_header_bytes of 65,536 was acknowledged, and orders with heads of 30 to 62 KB, which it allows, were refused with 431. Limits of any size were acknowledged.

libmicrohttpd gives all connections of a daemon blocks of one size, which was chosen at the start for heads of 16 KiB.

raised_limits_test failed before: 'Which is: "HTTP/1.1 431 Request Header Fields Too Large"' for each head from 30,000 to 61,900 bytes on new connections, a closed connection on kept ones, and a limit of 262,145 bytes was acknowledged (version read back: 8 instead of 7).

A limit that needs other blocks now starts a second daemon on the same listening socket. The former one accepts no more; its open requests are answered with 'Connection: close' and its idle connections end after 0.5 s. All blocks count against the same memory, so longer heads leave fewer connections, and open requests are limited by the connections that there are. Limits above 256 KiB are invalid: small VMs would have too few connections.

A burst of connections up to the library's own limit made it ignore the listening socket until its next run, for which nothing was scheduled. longer_heads_leave_fewer_connections found that ("still_serves(): false" within 5 s); the daemon is run once more as soon as there is room.

--- a/curranthoist/cored/operator_requests.cpp
+++ b/curranthoist/cored/operator_requests.cpp
@@ -6,6 +6,7 @@
 #include "curranthoist/cored/founding_api.hpp"
 #include "curranthoist/cored/join_client.hpp"
 #include "curranthoist/cored/membership_keeper.hpp"
+#include "curranthoist/deployment/configuration_check.hpp"
 #include "curranthoist/http/status.hpp"
 #include "curranthoist/platform/configuration_document.hpp"
 #include "curranthoist/platform/rollout_document.hpp"
@@ -163,7 +164,10 @@
 {
     std::uint64_t version = 0;
     try {
-        version = platform::decode_configuration(request.body).version;
+        const deployment::configuration wanted =
+            platform::decode_configuration(request.body);
+        deployment::limits_beyond_any_vm(wanted).throw_if_any();
+        version = wanted.version;
     }
     catch (const base::findings_error& error) {
         log_.warn(
--- a/curranthoist/ctl/document_check.cpp
+++ b/curranthoist/ctl/document_check.cpp
@@ -3,10 +3,13 @@
 #include "curranthoist/base/findings_error.hpp"
 #include "curranthoist/cored/operator_server_options.hpp"
 #include "curranthoist/ctl/unreadable_document.hpp"
+#include "curranthoist/deployment/configuration_check.hpp"
 #include "curranthoist/deployment/configuration_diff.hpp"
 #include "curranthoist/platform/configuration_document.hpp"
 #include "curranthoist/platform/configuration_review.hpp"
 
+#include <utility>
+
 namespace curranthoist::ctl {
 
 configuration_report check_document(const std::string& file, std::string_view document)
@@ -20,7 +23,9 @@
         return result;
     }
     try {
-        result.decoded = platform::decode_configuration(document);
+        deployment::configuration decoded = platform::decode_configuration(document);
+        deployment::limits_beyond_any_vm(decoded).throw_if_any();
+        result.decoded = std::move(decoded);
     }
     catch (const base::findings_error& error) {
         result.errors = error.found();
--- a/curranthoist/deployment/configuration_bounds.hpp
+++ b/curranthoist/deployment/configuration_bounds.hpp
@@ -11,8 +11,10 @@
 {
     // Longer bodies get 413: bodies of requests share an eighth of a VM's memory.
     std::size_t max_body_bytes = std::size_t{1024} * 1024;
-    // Longer heads get 431: they don't fit into the memory reserved for a connection.
-    std::size_t max_header_bytes = std::size_t{16} * 1024;
+    // Each connection has memory for three times the longest head. Above the first limit
+    // a VM takes fewer connections, above the second one too few to serve.
+    std::size_t usual_header_bytes = std::size_t{16} * 1024;
+    std::size_t max_header_bytes = std::size_t{256} * 1024;
     // One connection for requests, and one that is closing or belongs to a VM that has
     // just joined.
     std::size_t min_connections = 2;
--- a/curranthoist/deployment/configuration_check.cpp
+++ b/curranthoist/deployment/configuration_check.cpp
@@ -228,11 +228,10 @@
         if (limits.max_header_bytes == 0) {
             add(field::max_header_bytes, "is 0, so every request is refused");
         }
-        if (limits.max_header_bytes > bounds_.max_header_bytes) {
-            add(field::max_header_bytes, "is above the " +
-                                             std::to_string(bounds_.max_header_bytes) +
-                                             " bytes that a VM takes; longer heads get "
-                                             "431");
+        if (limits.max_header_bytes > bounds_.usual_header_bytes) {
+            add(field::max_header_bytes,
+                "is above " + std::to_string(bounds_.usual_header_bytes) +
+                    " bytes, so that a VM's memory holds fewer connections");
         }
         if (limits.max_body_bytes == 0) {
             add(field::max_body_bytes, "is 0, so requests with a body are refused");
@@ -273,4 +272,17 @@
     return checker(checked, bounds).run();
 }
 
+base::findings limits_beyond_any_vm(const configuration& checked,
+                                    const configuration_bounds& bounds)
+{
+    base::findings found;
+    if (checked.limits.max_header_bytes > bounds.max_header_bytes) {
+        found.add("limits.max_header_bytes", "is above " +
+                                                 std::to_string(bounds.max_header_bytes) +
+                                                 " bytes, the longest heads for which a "
+                                                 "VM has memory");
+    }
+    return found;
+}
+
 } // namespace curranthoist::deployment
--- a/curranthoist/deployment/configuration_check.hpp
+++ b/curranthoist/deployment/configuration_check.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "curranthoist/base/findings.hpp"
 #include "curranthoist/deployment/configuration_bounds.hpp"
 #include "curranthoist/deployment/configuration_remark.hpp"
 
@@ -16,4 +17,10 @@
 check_configuration(const configuration& checked,
                     const configuration_bounds& bounds = configuration_bounds());
 
+// Limits that can't be kept with the memory of any VM. A configuration that has some is
+// invalid; one that was stored before is carried up to the bounds.
+[[nodiscard]] base::findings
+limits_beyond_any_vm(const configuration& checked,
+                     const configuration_bounds& bounds = configuration_bounds());
+
 } // namespace curranthoist::deployment
--- a/curranthoist/deployment/configuration_check_test.cpp
+++ b/curranthoist/deployment/configuration_check_test.cpp
@@ -176,6 +176,17 @@
                                           {0, field::idle_timeout}}));
 }
 
+// Guards against limits that are acknowledged and can't be kept on any VM.
+TEST(configuration_check_test, limits_beyond_any_vm_are_found)
+{
+    configuration checked = make_configuration();
+    checked.limits.max_header_bytes = configuration_bounds().max_header_bytes;
+    EXPECT_TRUE(limits_beyond_any_vm(checked).empty());
+    ++checked.limits.max_header_bytes;
+    EXPECT_NE(limits_beyond_any_vm(checked).str().find("limits.max_header_bytes"),
+              std::string::npos);
+}
+
 // Guards against routes that logs and comparisons can't tell apart.
 TEST(configuration_check_test, names_that_are_empty_or_repeated_are_remarked)
 {
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -53,6 +53,9 @@
 // Bodies are kept in memory, so that the operators' limit holds only below this one.
 constexpr std::size_t max_caller_body_bytes =
     deployment::configuration_bounds().max_body_bytes;
+// The memory of connections follows the operators' limit up to this one.
+constexpr std::size_t max_caller_header_bytes =
+    deployment::configuration_bounds().max_header_bytes;
 // The part of the process's memory that the bodies of targets' responses may fill; their
 // buffers may take twice as much.
 constexpr std::size_t response_memory_divisor = 8;
@@ -100,8 +103,9 @@
 {
     http::caller_server_options result;
     result.listen = *settings.callers;
+    result.max_connection_memory = settings.memory_bytes / caller_memory_divisor;
     const std::size_t connections =
-        settings.memory_bytes / caller_memory_divisor /
+        result.max_connection_memory /
         http::caller_server::connection_bytes(result.max_header_bytes);
     result.max_connections = static_cast<unsigned>(
         std::min({connections, descriptor_share(settings), max_caller_connections}));
@@ -264,7 +268,7 @@
         context_.configuration = std::shared_ptr<const deployment::configuration>(
             configuration_.current(), &now);
         callers_->set_request_limits(
-            now.limits.max_header_bytes,
+            std::min(now.limits.max_header_bytes, max_caller_header_bytes),
             std::min(now.limits.max_body_bytes, max_caller_body_bytes));
         callers_->set_time_limits(now.limits.idle_timeout, now.limits.header_timeout);
         log_.info("event=configuration_in_force version=" + std::to_string(now.version) +
@@ -313,7 +317,14 @@
     if (!admit_team(inbound, *route, answer)) {
         return;
     }
-    auto place = context_.open_requests.take(route->gathers() ? route->shards.size() : 1);
+    // Longer heads leave fewer connections than the process began with.
+    const std::size_t connections = callers_->max_connections();
+    const bool is_full =
+        callers_->open_requests() > connections - connections / idle_connection_divisor;
+    auto place =
+        is_full
+            ? nullptr
+            : context_.open_requests.take(route->gathers() ? route->shards.size() : 1);
     if (!place) {
         refuse(inbound, answer, "too many requests are open", full_retry_after);
         return;
--- a/curranthoist/http/caller_server.cpp
+++ b/curranthoist/http/caller_server.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/http/internal/connection_load.hpp"
 #include "curranthoist/http/internal/connection_memory.hpp"
 #include "curranthoist/http/internal/exchange.hpp"
+#include "curranthoist/http/internal/http_daemon.hpp"
 #include "curranthoist/http/internal/listening_socket.hpp"
 #include "curranthoist/http/internal/response_body.hpp"
 #include "curranthoist/http/internal/response_builder.hpp"
@@ -11,8 +12,7 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
-#include <stdexcept>
-#include <system_error>
+#include <exception>
 #include <utility>
 #include <vector>
 
@@ -36,7 +36,6 @@
 // How much of a body over the limit is read, so that a caller that is still sending sees
 // the refusal rather than a reset.
 constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
-constexpr double milliseconds_per_second = 1000.0;
 // Connections of which the library takes care beyond the limit while others make room,
 // and the part of the limit that they are at most.
 constexpr unsigned max_spare_connections = 32;
@@ -49,6 +48,7 @@
 // Bodies up to this size are not counted.
 constexpr std::size_t min_counted_body_bytes = std::size_t{4} * 1024;
 constexpr double limit_check_s = 1.0;
+constexpr double replacement_check_s = 0.1;
 
 // Sent on connections whose request was not handed over.
 constexpr std::string_view no_memory_response = "HTTP/1.1 503 Service Unavailable\r\n"
@@ -153,7 +153,8 @@
                              request_handler on_request)
     : loop_(loop)
     , options_(std::move(options))
-    , block_bytes_(connection_bytes(options_.max_header_bytes))
+    , least_block_bytes_(connection_bytes(options_.max_header_bytes))
+    , wanted_block_bytes_(least_block_bytes_)
     , request_memory_(std::make_shared<memory_account>(options_.max_request_memory))
     , response_memory_(options_.response_memory ? options_.response_memory
                                                 : std::make_shared<memory_account>(
@@ -162,21 +163,27 @@
     , listener_(internal::open_listening_socket(options_.listen))
     , local_(internal::bound_endpoint(listener_))
     , close_epoll_(epoll_create1(EPOLL_CLOEXEC))
-    , daemon_watcher_(loop)
-    , daemon_timer_(loop)
     , close_watcher_(loop)
     , handshake_timer_(loop)
     , limit_timer_(loop)
+    , replacement_timer_(loop)
 {
-    daemon_watcher_.set<caller_server, &caller_server::on_daemon_event>(this);
-    daemon_timer_.set<caller_server, &caller_server::on_daemon_timer>(this);
     close_watcher_.set<caller_server, &caller_server::on_peer_close_event>(this);
     handshake_timer_.set<caller_server, &caller_server::on_handshakes_over>(this);
     limit_timer_.set<caller_server, &caller_server::on_time_limit>(this);
+    replacement_timer_.set<caller_server, &caller_server::on_replacement>(this);
     request_memory_->on_shortage(
         [this] { return evict(shortage::request_memory, growing_); });
     response_memory_->on_shortage([this] { return evict(shortage::response_memory); });
-    start_daemon();
+    try {
+        daemons_.push_back(make_daemon(wanted_block_bytes_));
+    }
+    catch (...) {
+        ::close(listener_);
+        ::close(close_epoll_);
+        throw;
+    }
+    close_watcher_.start(close_epoll_, ev::READ);
 }
 
 caller_server::~caller_server()
@@ -184,8 +191,6 @@
     // What is held may outlive the server.
     request_memory_->on_shortage(nullptr);
     response_memory_->on_shortage(nullptr);
-    daemon_watcher_.stop();
-    daemon_timer_.stop();
     close_watcher_.stop();
     on_connection_ = nullptr;
     for (const auto& [connection, current] : exchanges_) {
@@ -196,29 +201,46 @@
         }
         current->detach();
     }
-    MHD_stop_daemon(daemon_);
+    daemons_.clear();
+    if (listening_) {
+        ::close(listener_);
+    }
     ::close(close_epoll_);
 }
 
-void caller_server::start_daemon()
+std::unique_ptr<internal::http_daemon> caller_server::make_daemon(std::size_t block_bytes)
 {
-    daemon_ = MHD_start_daemon(
-        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, &accept_callback, this,
-        &access_callback, this, MHD_OPTION_LISTEN_SOCKET, listener_,
-        MHD_OPTION_CONNECTION_LIMIT,
-        options_.max_connections + spare_connections(options_.max_connections),
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, block_bytes_, MHD_OPTION_CONNECTION_TIMEOUT,
-        options_.idle_seconds, MHD_OPTION_URI_LOG_CALLBACK, &target_callback, this,
-        MHD_OPTION_NOTIFY_COMPLETED, &completed_callback, this,
-        MHD_OPTION_NOTIFY_CONNECTION, &connection_callback, this, MHD_OPTION_END);
-    if (daemon_ == nullptr) {
-        ::close(listener_);
-        ::close(close_epoll_);
-        throw std::runtime_error("cannot start the HTTP server on " + local_.str());
+    const auto connections = static_cast<unsigned>(connections_with(block_bytes));
+    return std::make_unique<internal::http_daemon>(
+        loop_, listener_,
+        internal::http_daemon::options{block_bytes,
+                                       connections + spare_connections(connections),
+                                       options_.idle_seconds},
+        internal::http_daemon::callbacks{&accept_callback, &target_callback,
+                                         &access_callback, &completed_callback,
+                                         &connection_callback, this});
+}
+
+std::size_t caller_server::connections_with(std::size_t block_bytes) const
+{
+    if (options_.max_connection_memory == 0) {
+        return options_.max_connections;
     }
-    const MHD_DaemonInfo* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD);
-    daemon_watcher_.start(info->epoll_fd, ev::READ);
-    close_watcher_.start(close_epoll_, ev::READ);
+    return std::clamp<std::size_t>(options_.max_connection_memory / block_bytes, 1,
+                                   options_.max_connections);
+}
+
+std::size_t caller_server::max_connections() const
+{
+    return connections_with(wanted_block_bytes_);
+}
+
+bool caller_server::has_room(std::size_t block_bytes) const
+{
+    const std::size_t held = connections_.size() - closing_;
+    return held < connections_with(block_bytes) &&
+           (held == 0 || options_.max_connection_memory == 0 ||
+            held_block_bytes_ + block_bytes <= options_.max_connection_memory);
 }
 
 std::size_t caller_server::connection_bytes(std::size_t max_header_bytes)
@@ -231,6 +253,57 @@
 {
     options_.max_header_bytes = max_header_bytes;
     options_.max_body_bytes = max_body_bytes;
+    wanted_block_bytes_ =
+        std::max(least_block_bytes_, connection_bytes(max_header_bytes));
+    replace_daemon();
+}
+
+void caller_server::replace_daemon()
+{
+    // Callers of a server that stops are about to leave it.
+    if (daemons_.back()->block_bytes() == wanted_block_bytes_ || !listening_ ||
+        handshake_timer_.is_active()) {
+        return;
+    }
+    if (!replacement_timer_.is_active()) {
+        replacement_timer_.start(replacement_check_s, replacement_check_s);
+    }
+    try {
+        auto next = make_daemon(wanted_block_bytes_);
+        daemons_.back()->stop_accepting();
+        daemons_.push_back(std::move(next));
+        replaced_at_ = clock_.now();
+    }
+    catch (const std::exception& error) {
+        // The timer tries again; meanwhile heads that are too long get 431.
+        log_.warn(std::string("event=limits_delayed reason=\"") + error.what() + "\"");
+    }
+}
+
+void caller_server::on_replacement(ev::timer& /*watcher*/, int /*events*/)
+{
+    replace_daemon();
+    close_replaced();
+    if (daemons_.size() == 1 &&
+        (daemons_.back()->block_bytes() == wanted_block_bytes_ || !listening_)) {
+        replacement_timer_.stop();
+    }
+}
+
+void caller_server::close_replaced()
+{
+    if (clock_.now() - replaced_at_ >= replaced_connection_time) {
+        for (auto& [connection, entry] : connections_) {
+            if (entry.daemon != daemons_.back().get() && !entry.closing &&
+                !exchanges_.contains(connection) && !has_input(entry.descriptor)) {
+                shut_down(connection, entry, {});
+            }
+        }
+    }
+    run_daemons();
+    std::erase_if(daemons_, [this](const auto& one) {
+        return one != daemons_.back() && one->connections() == 0;
+    });
 }
 
 void caller_server::set_time_limits(base::duration idle, base::duration head)
@@ -320,6 +393,7 @@
     ::shutdown(entry.descriptor, SHUT_RDWR);
     entry.closing = true;
     ++closing_;
+    held_block_bytes_ -= entry.daemon->block_bytes();
     if (const auto found = exchanges_.find(connection); found != exchanges_.end()) {
         exchange& current = *found->second;
         current.phase = exchange_phase::closed;
@@ -331,26 +405,13 @@
     }
 }
 
-void caller_server::run_daemon()
+void caller_server::run_daemons()
 {
-    MHD_run(daemon_);
-    MHD_UNSIGNED_LONG_LONG wait_ms = 0;
-    daemon_timer_.stop();
-    if (MHD_get_timeout(daemon_, &wait_ms) == MHD_YES) {
-        daemon_timer_.start(static_cast<double>(wait_ms) / milliseconds_per_second);
+    for (const auto& one : daemons_) {
+        one->run();
     }
 }
 
-void caller_server::on_daemon_event(ev::io& /*watcher*/, int /*events*/)
-{
-    run_daemon();
-}
-
-void caller_server::on_daemon_timer(ev::timer& /*watcher*/, int /*events*/)
-{
-    run_daemon();
-}
-
 void caller_server::on_peer_close_event(ev::io& /*watcher*/, int /*events*/)
 {
     constexpr int max_events = 64;
@@ -400,30 +461,26 @@
 void caller_server::close_listener()
 {
     listening_ = false;
-    const MHD_socket listener = MHD_quiesce_daemon(daemon_);
-    if (listener == MHD_INVALID_SOCKET) {
-        return;
-    }
-    take_waiting_connections(listener);
-    ::close(listener);
-    run_daemon();
+    daemons_.back()->stop_accepting();
+    take_waiting_connections();
+    ::close(listener_);
+    run_daemons();
 }
 
 // Closing a listening socket resets the connections in the kernel's queue, whose callers
 // may have sent a request already.
-void caller_server::take_waiting_connections(int listener)
+void caller_server::take_waiting_connections()
 {
     for (unsigned i = 0; i < options_.max_connections; ++i) {
         sockaddr_in address{};
         socklen_t size = sizeof address;
         auto* generic = reinterpret_cast<sockaddr*>(&address);
         const int accepted =
-            ::accept4(listener, generic, &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            ::accept4(listener_, generic, &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (accepted < 0) {
             return;
         }
-        // The daemon owns the socket from here on, also if it refuses it.
-        MHD_add_connection(daemon_, accepted, generic, size);
+        daemons_.back()->add(accepted, generic, size);
     }
 }
 
@@ -439,7 +496,7 @@
             ::shutdown(entry.descriptor, SHUT_RDWR);
         }
     }
-    run_daemon();
+    run_daemons();
 }
 
 std::size_t caller_server::live_connections() const
@@ -456,8 +513,8 @@
     return !server.accept_filter_ || server.accept_filter_() ? MHD_YES : MHD_NO;
 }
 
-void caller_server::connection_callback(void* self, MHD_Connection* connection,
-                                        void** /*context*/,
+void caller_server::connection_callback(void* self, internal::http_daemon& at,
+                                        MHD_Connection* connection,
                                         MHD_ConnectionNotificationCode code)
 {
     auto& server = *static_cast<caller_server*>(self);
@@ -467,17 +524,27 @@
         const int descriptor = descriptor_of(connection);
         setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         const base::instant now = server.clock_.now();
-        if (server.connections_.size() - server.closing_ >=
-                server.options_.max_connections &&
-            !server.evict(shortage::connections)) {
-            ::shutdown(descriptor, SHUT_RDWR);
+        const std::size_t block_bytes = at.block_bytes();
+        bool fits = server.has_room(block_bytes);
+        while (!fits && server.evict(shortage::connections)) {
+            fits = server.has_room(block_bytes);
+        }
+        connection_entry& added = server.connections_[connection];
+        added = {++server.last_connection_, descriptor, &at, now, now};
+        server.held_block_bytes_ += block_bytes;
+        if (!fits) {
+            server.shut_down(connection, added, {});
         }
-        server.connections_[connection] = {++server.last_connection_, descriptor, now,
-                                           now};
     }
     const std::uint64_t number = server.connections_[connection].number;
     if (!open) {
-        server.closing_ -= server.connections_[connection].closing ? 1 : 0;
+        const connection_entry& ended = server.connections_[connection];
+        if (ended.closing) {
+            --server.closing_;
+        }
+        else {
+            server.held_block_bytes_ -= at.block_bytes();
+        }
         server.connections_.erase(connection);
         server.targets_.erase(connection);
     }
@@ -493,7 +560,7 @@
     auto& server = *static_cast<caller_server*>(self);
     server.targets_[connection] = target;
     // The library would go on parsing the arguments until the connection times out.
-    if (connection_memory(server.block_bytes_)
+    if (connection_memory(server.connections_.at(connection).daemon->block_bytes())
             .left_beside(std::string_view(target).size(), 0, argument_count(target)) <
         connection_memory::response_reserve) {
         refuse_head(descriptor_of(connection));
@@ -508,6 +575,10 @@
 {
     auto& server = *static_cast<caller_server*>(self);
     if (*context == nullptr) {
+        // What arrived before the connection was shut down could not be answered.
+        if (server.connections_.at(connection).closing) {
+            return MHD_NO;
+        }
         return server.begin_exchange(connection, url, method, context);
     }
     // Kept alive here: the handler can drop its responder during the call.
@@ -563,7 +634,7 @@
         cookie == request.headers.end() ? 0 : cookie->second.size();
     constexpr auto all_kinds = static_cast<MHD_ValueKind>(
         MHD_HEADER_KIND | MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND);
-    return connection_memory(block_bytes_)
+    return connection_memory(connections_.at(connection).daemon->block_bytes())
         .left_beside(header_bytes(connection), cookie_bytes,
                      value_count(connection, all_kinds));
 }
@@ -696,7 +767,7 @@
     for (const auto& [name, value] : answer.headers) {
         MHD_add_response_header(response, name.c_str(), value.c_str());
     }
-    if (announces_close_) {
+    if (announces_close_ || connections_.at(connection).daemon != daemons_.back().get()) {
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
     }
     const MHD_Result result = MHD_queue_response(connection, answer.status, response);
@@ -719,7 +790,7 @@
     epoll_ctl(close_epoll_, EPOLL_CTL_DEL, current.descriptor(), nullptr);
     current.suspended = false;
     MHD_resume_connection(current.connection());
-    daemon_watcher_.feed_event(ev::READ);
+    connections_.at(current.connection()).daemon->wake();
 }
 
 void caller_server::completed_callback(void* self, MHD_Connection* connection,
--- a/curranthoist/http/caller_server.hpp
+++ b/curranthoist/http/caller_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "curranthoist/base/duration.hpp"
+#include "curranthoist/base/logger.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/http/caller_request.hpp"
 #include "curranthoist/http/caller_server_options.hpp"
@@ -16,11 +17,13 @@
 #include <map>
 #include <memory>
 #include <string_view>
+#include <vector>
 
 namespace curranthoist::http {
 
 namespace internal {
 struct connection_load;
+class http_daemon;
 enum class shortage;
 } // namespace internal
 
@@ -52,6 +55,9 @@
     // to itself only now and then.
     static constexpr base::duration first_request_time{500};
 
+    // How long an idle connection stays whose memory has the size for former limits.
+    static constexpr base::duration replaced_connection_time{500};
+
     // Throws std::system_error if the address can't be bound.
     caller_server(ev::loop_ref loop, caller_server_options options,
                   request_handler on_request);
@@ -64,9 +70,11 @@
     // made for heads of `max_header_bytes`.
     [[nodiscard]] static std::size_t connection_bytes(std::size_t max_header_bytes);
 
-    // Changes the limits for the requests that begin from now on. A head that leaves no
-    // room for its response in the connection's memory, whose size stays as it is, is
-    // refused with 431 also below the limit.
+    // Changes the limits for the requests that begin from now on. Heads of another length
+    // than the server was made for need connections with memory of another size: new
+    // connections have it, those that are open end after their requests or, if they are
+    // idle, after replaced_connection_time. A head that leaves no room for its response
+    // is refused with 431 also below the limit.
     void set_request_limits(std::size_t max_header_bytes, std::size_t max_body_bytes);
     // Closes a connection on which no request has become complete for `idle` and `head`
     // together, or on which a body has not moved for `idle`. Nothing is closed before the
@@ -95,6 +103,8 @@
     [[nodiscard]] bool is_listening() const { return listening_; }
     // Requests that were received but whose responses are not completely sent.
     [[nodiscard]] std::size_t open_requests() const { return exchanges_.size(); }
+    // The connections that the present limits allow at once.
+    [[nodiscard]] std::size_t max_connections() const;
     // Connections whose other end has not closed, as the kernel sees it now.
     [[nodiscard]] std::size_t live_connections() const;
     // Connections that were closed so that others could be served.
@@ -114,6 +124,8 @@
     {
         std::uint64_t number;
         int descriptor;
+        // Gives it its memory.
+        internal::http_daemon* daemon;
         base::instant opened;
         // When it was opened, or its last request ended.
         base::instant idle_since;
@@ -134,16 +146,25 @@
                                       std::size_t* size, void** context);
     static void completed_callback(void* self, MHD_Connection* connection, void** context,
                                    MHD_RequestTerminationCode code);
-    static void connection_callback(void* self, MHD_Connection* connection,
-                                    void** context, MHD_ConnectionNotificationCode code);
-
-    void start_daemon();
-    void run_daemon();
+    static void connection_callback(void* self, internal::http_daemon& at,
+                                    MHD_Connection* connection,
+                                    MHD_ConnectionNotificationCode code);
+
+    // Starts a daemon that accepts connections with blocks of this size.
+    [[nodiscard]] std::unique_ptr<internal::http_daemon>
+    make_daemon(std::size_t block_bytes);
+    void run_daemons();
+    // Lets new connections have blocks of wanted_block_bytes_.
+    void replace_daemon();
+    void on_replacement(ev::timer& watcher, int events);
+    // Closes the idle connections of former daemons, and drops those without any.
+    void close_replaced();
+    // Whether one more connection with such a block is within the limits.
+    [[nodiscard]] bool has_room(std::size_t block_bytes) const;
+    [[nodiscard]] std::size_t connections_with(std::size_t block_bytes) const;
     void close_listener();
-    void take_waiting_connections(int listener);
+    void take_waiting_connections();
     void on_handshakes_over(ev::timer& watcher, int events);
-    void on_daemon_event(ev::io& watcher, int events);
-    void on_daemon_timer(ev::timer& watcher, int events);
     void on_peer_close_event(ev::io& watcher, int events);
     void on_time_limit(ev::timer& watcher, int events);
 
@@ -183,8 +204,11 @@
 
     ev::loop_ref loop_;
     caller_server_options options_;
-    // The memory of each connection.
-    std::size_t block_bytes_;
+    // The least memory of a connection, and that which the present limits need.
+    std::size_t least_block_bytes_;
+    std::size_t wanted_block_bytes_;
+    // Of all connections that are not being closed.
+    std::size_t held_block_bytes_ = 0;
     std::shared_ptr<memory_account> request_memory_;
     std::shared_ptr<memory_account> response_memory_;
     // The body that grows at this moment.
@@ -198,17 +222,20 @@
     connection_handler on_connection_;
     int listener_;
     base::endpoint local_;
-    MHD_Daemon* daemon_ = nullptr;
+    // The last one accepts connections.
+    std::vector<std::unique_ptr<internal::http_daemon>> daemons_;
+    base::instant replaced_at_;
     // Reports closed connections while they are suspended. libmicrohttpd does not watch
     // suspended sockets, and libev can't wait for EPOLLRDHUP without waiting for data.
     int close_epoll_;
-    ev::io daemon_watcher_;
-    ev::timer daemon_timer_;
     ev::io close_watcher_;
     // Runs from stop_accepting() until the listening socket is closed.
     ev::timer handshake_timer_;
     ev::timer limit_timer_;
+    // Runs while there are former daemons, or one could not be started.
+    ev::timer replacement_timer_;
     base::monotonic_clock clock_;
+    base::logger log_{"http"};
     bool listening_ = true;
     bool announces_close_ = false;
     std::uint64_t last_connection_ = 0;
--- a/curranthoist/http/caller_server_options.hpp
+++ b/curranthoist/http/caller_server_options.hpp
@@ -19,6 +19,9 @@
     // request or response that makes the least progress. While every connection has a
     // request that runs, it is closed as soon as it is accepted.
     unsigned max_connections = 4096;
+    // The memory of all connections together; longer heads take more for each, so that
+    // there are fewer of them. 0 means no limit. At least one connection is taken.
+    std::size_t max_connection_memory = 0;
     // Request line and headers together; longer ones are refused with 431.
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     // Longer bodies are refused with 413.
--- a/curranthoist/http/caller_server_test.cpp
+++ b/curranthoist/http/caller_server_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
@@ -338,6 +339,89 @@
               std::string::npos);
 }
 
+// Guards against connections that keep the memory of former limits, where longer heads
+// are refused, and against a change of limits that breaks off a request.
+TEST_F(caller_server_test, raised_limits_hold_on_new_connections_and_finish_old_ones)
+{
+    constexpr std::size_t raised = std::size_t{64} * 1024;
+    start();
+    raw_peer idle(server_->local());
+    idle.send(get_request);
+    ASSERT_TRUE(receives(1));
+    answers_[0].respond({.body = "{}"});
+    ASSERT_TRUE(reads(idle, "{}"));
+    raw_peer busy(server_->local());
+    busy.send(get_request);
+    ASSERT_TRUE(receives(2));
+    server_->set_request_limits(raised, options_.max_body_bytes);
+    answer_at_once_ = true;
+    for (const head_shape shape : {head_shape::one_cookie, head_shape::usual_headers}) {
+        for (const std::size_t size : {30'000, 45'000, 60'000}) {
+            const std::string request = request_with_head(shape, size);
+            EXPECT_NE(answer_on_kept_connection(request).find(" 200 "), std::string::npos)
+                << size;
+        }
+    }
+    EXPECT_TRUE(run_until(loop_, [&] { return idle.ended(); }));
+    EXPECT_FALSE(busy.ended());
+    answers_[1].respond({.body = "late"});
+    EXPECT_TRUE(reads(busy, "late"));
+    EXPECT_NE(busy.read().find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(run_until(loop_, [&] { return busy.ended(); }));
+}
+
+// Guards against a stop during a change of limits that leaves a listening socket open or
+// loses the requests of former connections.
+TEST_F(caller_server_test, a_stop_after_changed_limits_finishes_open_requests)
+{
+    start();
+    raw_peer busy(server_->local());
+    busy.send(get_request);
+    ASSERT_TRUE(receives(1));
+    for (const std::size_t limit : {64'000, 16'000, 128'000}) {
+        server_->set_request_limits(limit, options_.max_body_bytes);
+    }
+    server_->stop_accepting();
+    EXPECT_TRUE(run_until(loop_, [&] { return !server_->is_listening(); }));
+    EXPECT_FALSE(raw_peer(server_->local()).connected());
+    answers_[0].respond({.body = "late"});
+    EXPECT_TRUE(reads(busy, "late"));
+    EXPECT_TRUE(run_until(loop_, [&] { return server_->live_connections() == 0; }));
+}
+
+// Guards against longer heads that take more memory for connections than before.
+TEST_F(caller_server_test, longer_heads_leave_fewer_connections)
+{
+    constexpr std::size_t callers = 20;
+    constexpr std::size_t raised = std::size_t{64} * 1024;
+    options_.max_connection_memory =
+        callers * caller_server::connection_bytes(options_.max_header_bytes);
+    options_.max_connections = callers;
+    start();
+    EXPECT_EQ(server_->max_connections(), callers);
+    std::vector<std::unique_ptr<raw_peer>> peers;
+    const auto open = [&] {
+        for (std::size_t i = 0; i < callers; ++i) {
+            peers.push_back(std::make_unique<raw_peer>(server_->local()));
+        }
+    };
+    open();
+    ASSERT_TRUE(run_until(loop_, [&] { return server_->live_connections() == callers; }));
+    server_->set_request_limits(raised, options_.max_body_bytes);
+    const std::size_t fewer =
+        options_.max_connection_memory / caller_server::connection_bytes(raised);
+    EXPECT_EQ(server_->max_connections(), fewer);
+    open();
+    const auto live = [&] { return server_->live_connections(); };
+    EXPECT_TRUE(run_until(
+        loop_, [&] { return peers.back()->connected() && peers.front()->ended(); }));
+    EXPECT_TRUE(run_until(loop_, [&] { return live() <= fewer; }));
+    EXPECT_TRUE(still_serves());
+    server_->set_request_limits(options_.max_header_bytes, options_.max_body_bytes);
+    EXPECT_EQ(server_->max_connections(), callers);
+    EXPECT_TRUE(still_serves());
+}
+
 TEST_F(caller_server_test, a_close_is_seen_while_the_answer_is_outstanding)
 {
     start();
--- a/curranthoist/testing/platform/stand_in_platform.cpp
+++ b/curranthoist/testing/platform/stand_in_platform.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr unsigned failure_status = 500;
+// Longer than the longest head that the programs take from callers.
+constexpr std::size_t target_header_bytes = std::size_t{272} * 1024;
 
 } // namespace
 
@@ -71,7 +73,9 @@
         one = std::make_unique<served_target>();
         one->listed = added;
         one->server = std::make_unique<http::caller_server>(
-            loop_, http::caller_server_options{.listen = added.address},
+            loop_,
+            http::caller_server_options{.listen = added.address,
+                                        .max_header_bytes = target_header_bytes},
             [this, &at = *one](const http::caller_request& request,
                                const http::responder& answer) {
                 on_request(at, request, answer);
