--- a/curranthoist/forwarding/open_request_limit.hpp
+++ b/curranthoist/forwarding/open_request_limit.hpp
@@ -35,6 +35,9 @@
     // A place for a request with so many sends; null if there is none.
     [[nodiscard]] std::shared_ptr<place> take(std::size_t sends);
 
+    // Does not end places that were taken before.
+    void set_max_requests(std::size_t count) { state_->limits.max_requests = count; }
+
     [[nodiscard]] std::size_t requests() const { return state_->requests; }
     [[nodiscard]] std::size_t sends() const { return state_->sends; }
 
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -120,9 +120,12 @@
 void front_process::set_caller_limits(const deployment::configuration& now)
 {
     callers_->set_request_limits(
-        now.limits.max_header_bytes,
+        std::min(now.limits.max_header_bytes, max_caller_header_bytes),
         std::min(now.limits.max_body_bytes, max_caller_body_bytes));
     callers_->set_time_limits(now.limits.idle_timeout, now.limits.header_timeout);
+    // Longer heads leave fewer connections than the process began with.
+    state_.context.open_requests.set_max_requests(
+        max_open_requests(callers_->max_connections()));
 }
 
 void front_process::on_request(http::caller_request request, http::responder answer)
--- a/curranthoist/frontd/process_limits.cpp
+++ b/curranthoist/frontd/process_limits.cpp
@@ -47,8 +47,9 @@
 {
     http::caller_server_options result;
     result.listen = *settings.callers;
+    result.max_connection_memory = settings.memory_bytes / caller_memory_divisor;
     const std::size_t connections =
-        settings.memory_bytes / caller_memory_divisor /
+        result.max_connection_memory /
         http::caller_server::connection_bytes(result.max_header_bytes);
     result.max_connections = static_cast<unsigned>(
         std::min({connections, descriptor_share(settings), max_caller_connections}));
@@ -59,11 +60,15 @@
     return result;
 }
 
+std::size_t max_open_requests(std::size_t connections)
+{
+    return connections - connections / idle_connection_divisor;
+}
+
 forwarding::open_request_limit::options
 open_request_options(const platform::node_settings& settings)
 {
-    const std::size_t connections = caller_options(settings, nullptr).max_connections;
-    return {connections - connections / idle_connection_divisor,
+    return {max_open_requests(caller_options(settings, nullptr).max_connections),
             settings.memory_bytes / send_memory_divisor / bytes_for_send};
 }
 
--- a/curranthoist/frontd/process_limits.hpp
+++ b/curranthoist/frontd/process_limits.hpp
@@ -16,6 +16,10 @@
 constexpr std::size_t max_caller_body_bytes =
     deployment::configuration_bounds().max_body_bytes;
 
+// The memory of connections follows the operators' limit up to this one.
+constexpr std::size_t max_caller_header_bytes =
+    deployment::configuration_bounds().max_header_bytes;
+
 // The descriptors that callers' connections may take, and those to targets.
 [[nodiscard]] std::size_t descriptor_share(const platform::node_settings& settings);
 
@@ -28,6 +32,9 @@
 caller_options(const platform::node_settings& settings,
                std::shared_ptr<http::memory_account> response_memory);
 
+// The requests that may be open with so many connections.
+[[nodiscard]] std::size_t max_open_requests(std::size_t connections);
+
 [[nodiscard]] forwarding::open_request_limit::options
 open_request_options(const platform::node_settings& settings);
 
