Share the room of a VM equally among teams when it runs short

A team without a limit that sends many times its usual fills the room for open requests, and each other team is then refused as often as the one that fills it. The design promised equal shares; only the order of return knew priorities, and there the team's priority took the place of the route's.

forwarding/team_shares decides for each request of a team whether it gets a place: a fair rate that falls as the room fills, less room for less urgent requests, and for each team at least a third of the service of all. Requests without a team have only the room as their limit. Callers of services short of targets return by the team's priority, the route's, and whether their team is above its share. Refusals name team and cause in the log and in curranthoist_team_requests_total.

--- a/curranthoist/deployment/route.hpp
+++ b/curranthoist/deployment/route.hpp
@@ -60,6 +60,8 @@
 
     // True if a response is gathered from the shards of an index.
     [[nodiscard]] bool gathers() const { return !shards.empty(); }
+    // The sends that each request needs at least.
+    [[nodiscard]] std::size_t send_count() const { return gathers() ? shards.size() : 1; }
     bool operator==(const route&) const = default;
 };
 
--- a/curranthoist/forwarding/open_request_limit.hpp
+++ b/curranthoist/forwarding/open_request_limit.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "curranthoist/forwarding/request_room.hpp"
+
 #include <algorithm>
 #include <cstddef>
 #include <memory>
@@ -37,6 +39,9 @@
 
     [[nodiscard]] std::size_t requests() const { return state_->requests; }
     [[nodiscard]] std::size_t sends() const { return state_->sends; }
+    // What a request with so many sends finds and takes of the room, by number or by
+    // sends, whichever is nearer to its limit.
+    [[nodiscard]] request_room room_for(std::size_t sends) const;
 
 private:
     struct state
@@ -46,6 +51,9 @@
         std::size_t sends;
     };
 
+    [[nodiscard]] std::size_t max_sends_with(std::size_t sends) const;
+    [[nodiscard]] bool fits(std::size_t sends) const;
+
     std::shared_ptr<state> state_;
 };
 
@@ -72,19 +80,35 @@
     std::size_t sends_;
 };
 
+inline std::size_t open_request_limit::max_sends_with(std::size_t sends) const
+{
+    constexpr std::size_t single_send_divisor = 8;
+    return sends > 1
+               ? state_->limits.max_sends - state_->limits.max_sends / single_send_divisor
+               : state_->limits.max_sends;
+}
+
+inline bool open_request_limit::fits(std::size_t sends) const
+{
+    // One request with more sends than the limit is served when it is alone.
+    return state_->requests < state_->limits.max_requests &&
+           (state_->sends + sends <= max_sends_with(sends) || state_->sends == 0);
+}
+
+inline request_room open_request_limit::room_for(std::size_t sends) const
+{
+    const auto max_requests = static_cast<double>(state_->limits.max_requests);
+    const auto max_sends = static_cast<double>(max_sends_with(sends));
+    return {std::max(static_cast<double>(state_->requests) / max_requests,
+                     static_cast<double>(state_->sends) / max_sends),
+            std::max(1.0 / max_requests, static_cast<double>(sends) / max_sends),
+            fits(sends)};
+}
+
 inline std::shared_ptr<open_request_limit::place>
 open_request_limit::take(std::size_t sends)
 {
-    constexpr std::size_t kept_divisor = 8;
-    const std::size_t max_sends =
-        sends > 1 ? state_->limits.max_sends - state_->limits.max_sends / kept_divisor
-                  : state_->limits.max_sends;
-    // One request with more sends than the limit is served when it is alone.
-    const bool fits = state_->sends + sends <= max_sends || state_->sends == 0;
-    if (state_->requests >= state_->limits.max_requests || !fits) {
-        return nullptr;
-    }
-    return std::make_shared<place>(state_, sends);
+    return fits(sends) ? std::make_shared<place>(state_, sends) : nullptr;
 }
 
 } // namespace curranthoist::forwarding
--- a/curranthoist/forwarding/return_schedule.cpp
+++ b/curranthoist/forwarding/return_schedule.cpp
@@ -53,14 +53,15 @@
     const base::duration age = now - *state.shortage_began_at;
     const base::instant latest =
         now + std::max(min_pause, caller.time_left / time_left_divisor);
+    const standing rank(caller.priority, caller.above_share);
     const base::instant place = std::min(
-        latest, free_place(state, caller.priority,
-                           now + std::max({min_pause, caller.known_pause, age})));
-    state.places.emplace(place, caller.priority);
+        latest,
+        free_place(state, rank, now + std::max({min_pause, caller.known_pause, age})));
+    state.places.emplace(place, rank);
     return std::max(place - now, caller.known_pause);
 }
 
-base::instant return_schedule::free_place(const service_state& state, unsigned priority,
+base::instant return_schedule::free_place(const service_state& state, standing caller,
                                           base::instant earliest)
 {
     const base::duration interval(
@@ -68,7 +69,7 @@
     base::instant result = earliest;
     for (auto one = state.places.upper_bound(earliest - interval);
          one != state.places.end() && one->first < result + interval; ++one) {
-        if (one->second <= priority) {
+        if (one->second <= caller) {
             result = std::max(result, one->first + interval);
         }
     }
--- a/curranthoist/forwarding/return_schedule.hpp
+++ b/curranthoist/forwarding/return_schedule.hpp
@@ -2,10 +2,12 @@
 
 #include "curranthoist/base/identifiers.hpp"
 #include "curranthoist/base/instant.hpp"
+#include "curranthoist/forwarding/request_priority.hpp"
 
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace curranthoist::forwarding {
 
@@ -26,12 +28,14 @@
     // A caller that is rejected.
     struct rejection
     {
-        // 0 is the most urgent.
-        unsigned priority = 0;
+        request_priority priority;
         // The time until a target is known to take requests again; 0 if none is known.
         base::duration known_pause;
         // The time that is left for the request.
         base::duration time_left;
+        // The caller's team sends more than its equal share. Among callers of one
+        // priority it comes after the others.
+        bool above_share = false;
     };
 
     // Records that a request to the service was served.
@@ -43,6 +47,8 @@
                            base::instant now);
 
 private:
+    // Priority, then whether the team is above its share; the lower one comes first.
+    using standing = std::pair<request_priority, bool>;
     struct service_state
     {
         base::instant last_served_at;
@@ -53,13 +59,13 @@
         base::instant last_rejected_at;
         // Requests that were served since the last rejection.
         std::size_t served_since = 0;
-        // The places that are still to come, with the priority of their callers.
-        std::multimap<base::instant, unsigned> places;
+        // The places that are still to come, with the standing of their callers.
+        std::multimap<base::instant, standing> places;
     };
 
-    // Returns the first time from `earliest` on at which no caller of this priority or a
-    // more urgent one has a place.
-    static base::instant free_place(const service_state& state, unsigned priority,
+    // Returns the first time from `earliest` on at which no caller of this standing or a
+    // lower one has a place.
+    static base::instant free_place(const service_state& state, standing caller,
                                     base::instant earliest);
 
     std::map<base::service_id, service_state> services_;
--- a/curranthoist/forwarding/return_schedule_test.cpp
+++ b/curranthoist/forwarding/return_schedule_test.cpp
@@ -31,12 +31,12 @@
 {
     return_schedule schedule;
     base::instant now(1'000'000);
-    EXPECT_EQ(schedule.reserve(service, {0, 0_ms, 900_ms}, now), 50_ms);
-    EXPECT_EQ(schedule.reserve(service, {0, 5_s, 900_ms}, now), 5_s);
-    EXPECT_EQ(schedule.reserve(service, {0, 120_ms, 900_ms}, now), 120_ms);
-    EXPECT_EQ(schedule.reserve(service, {0, 0_ms, 3_ms}, now), 50_ms);
-    EXPECT_EQ(schedule.reserve(service, {0, 0_ms, 900_ms}, now + 1500_ms), 300_ms);
-    EXPECT_EQ(schedule.reserve(service, {0, 0_ms, 0_ms - 10_ms}, now), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 0_ms, 900_ms}, now), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 5_s, 900_ms}, now), 5_s);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 120_ms, 900_ms}, now), 120_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 0_ms, 3_ms}, now), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 0_ms, 900_ms}, now + 1500_ms), 300_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 0_ms, 0_ms - 10_ms}, now), 50_ms);
 }
 
 // Guards against callers that lose an attempt because they come back while a shortage
@@ -45,17 +45,17 @@
 {
     return_schedule schedule;
     const base::instant begin(1'000'000);
-    EXPECT_EQ(schedule.reserve(service, {0, 0_ms, 3_s}, begin), 50_ms);
-    EXPECT_EQ(schedule.reserve(service, {0, 0_ms, 3_s}, begin + 400_ms), 400_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 0_ms, 3_s}, begin), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 0_ms, 3_s}, begin + 400_ms), 400_ms);
     // One served request does not end a shortage; several in a row do.
     schedule.on_served(service, begin + 500_ms);
-    EXPECT_EQ(schedule.reserve(service, {0, 0_ms, 3_s}, begin + 600_ms), 600_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 0_ms, 3_s}, begin + 600_ms), 600_ms);
     for (int i = 0; i < 5; ++i) {
         schedule.on_served(service, begin + 700_ms + 10_ms * i);
     }
-    EXPECT_EQ(schedule.reserve(service, {0, 0_ms, 3_s}, begin + 900_ms), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 0_ms, 3_s}, begin + 900_ms), 50_ms);
     // So is a rejection long after the last one.
-    EXPECT_EQ(schedule.reserve(service, {0, 0_ms, 3_s}, begin + 60_s), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 0_ms, 3_s}, begin + 60_s), 50_ms);
 }
 
 // Guards against less urgent callers that come back ahead of more urgent ones, and
@@ -64,13 +64,38 @@
 {
     const base::instant now(1'000'000);
     return_schedule schedule = served(20_ms, now);
-    EXPECT_EQ(schedule.reserve(service, {2, 0_ms, 9_s}, now), 50_ms);
-    EXPECT_EQ(schedule.reserve(service, {2, 0_ms, 9_s}, now), 70_ms);
-    EXPECT_EQ(schedule.reserve(service, {0, 0_ms, 9_s}, now), 50_ms);
-    EXPECT_EQ(schedule.reserve(service, {0, 0_ms, 9_s}, now), 70_ms);
-    EXPECT_EQ(schedule.reserve(service, {1, 0_ms, 9_s}, now), 90_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 2}, 0_ms, 9_s}, now), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 2}, 0_ms, 9_s}, now), 70_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 0_ms, 9_s}, now), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 0_ms, 9_s}, now), 70_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 1}, 0_ms, 9_s}, now), 90_ms);
     // Another service has places of its own.
-    EXPECT_EQ(schedule.reserve(base::service_id("t"), {2, 0_ms, 9_s}, now), 50_ms);
+    EXPECT_EQ(schedule.reserve(base::service_id("t"), {{0, 2}, 0_ms, 9_s}, now), 50_ms);
+}
+
+// Guards against a team whose many returning callers push back those of the other teams.
+TEST(return_schedule_test, callers_of_a_team_above_its_share_come_after_the_others)
+{
+    const base::instant now(1'000'000);
+    return_schedule schedule = served(20_ms, now);
+    EXPECT_EQ(schedule.reserve(service, {{0, 1}, 0_ms, 9_s, true}, now), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 1}, 0_ms, 9_s, true}, now), 70_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 1}, 0_ms, 9_s, false}, now), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 1}, 0_ms, 9_s, false}, now), 70_ms);
+    // Priority goes first.
+    EXPECT_EQ(schedule.reserve(service, {{0, 0}, 0_ms, 9_s, true}, now), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 2}, 0_ms, 9_s, false}, now), 90_ms);
+}
+
+// Guards against urgent teams that wait behind routine ones whose routes are urgent.
+TEST(return_schedule_test, the_priority_of_the_team_goes_before_that_of_the_route)
+{
+    const base::instant now(1'000'000);
+    return_schedule schedule = served(20_ms, now);
+    EXPECT_EQ(schedule.reserve(service, {{1, 0}, 0_ms, 9_s}, now), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 2}, 0_ms, 9_s}, now), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{0, 1}, 0_ms, 9_s}, now), 50_ms);
+    EXPECT_EQ(schedule.reserve(service, {{1, 0}, 0_ms, 9_s}, now), 70_ms);
 }
 
 // What callers got in one replay.
@@ -163,7 +188,7 @@
         return_schedule schedule;
         const replay_result scheduled = shortage_replay(outage).run(
             [&](base::duration left, base::instant now) {
-                return schedule.reserve(service, {0, 0_ms, left}, now);
+                return schedule.reserve(service, {{0, 0}, 0_ms, left}, now);
             },
             [&](base::instant now) { schedule.on_served(service, now); });
         EXPECT_GE(scheduled.served, constant.served) << outage.count();
--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -510,8 +510,9 @@
 {
     const base::instant now = clock_.now();
     forwarding::return_schedule::rejection caller;
-    caller.priority = request_.priority.value_or(route_.priority);
+    caller.priority = {request_.priority.value_or(0), route_.priority};
     caller.time_left = hard_limit_ - now;
+    caller.above_share = context_.shares.is_above_share(request_.team, now);
     // A query goes to many services; the pause of one of them says little about it.
     if (!route_.gathers()) {
         caller.known_pause = context_.directory.shortest_pause(run_->service_of(0), now)
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -310,10 +310,10 @@
             platform::own_response(http::status::not_found, "no route", std::nullopt));
         return;
     }
-    if (!admit_team(inbound, *route, answer)) {
+    if (!admit_team(inbound, *route, answer) || !share_room(inbound, *route, answer)) {
         return;
     }
-    auto place = context_.open_requests.take(route->gathers() ? route->shards.size() : 1);
+    auto place = context_.open_requests.take(route->send_count());
     if (!place) {
         refuse(inbound, answer, "too many requests are open", full_retry_after);
         return;
@@ -385,6 +385,23 @@
     return true;
 }
 
+bool front_process::share_room(const platform::inbound_request& request,
+                               const deployment::route& route,
+                               const http::responder& answer)
+{
+    using verdict = forwarding::team_shares::verdict;
+    const verdict found = context_.shares.decide(
+        request.team, {request.priority.value_or(0), route.priority},
+        context_.open_requests.room_for(route.send_count()), clock_.now());
+    if (found == verdict::admitted) {
+        return true;
+    }
+    const char* const cause = forwarding::verdict_name(found);
+    count_team(request.team, cause);
+    refuse(request, answer, "too many requests are open", full_retry_after, cause);
+    return false;
+}
+
 void front_process::count_team(const std::string& team, const char* outcome)
 {
     context_.metrics
@@ -396,10 +413,13 @@
 
 void front_process::refuse(const platform::inbound_request& request,
                            const http::responder& answer, const char* reason,
-                           base::duration retry_after)
+                           base::duration retry_after, const char* team_cause)
 {
-    log_.info("event=request_refused id=" + request.attempt.str() + " reason=\"" +
-              reason + "\" retry_after_ms=" + std::to_string(retry_after.count()));
+    log_.info(
+        "event=request_refused id=" + request.attempt.str() + " reason=\"" + reason +
+        "\"" +
+        (team_cause != nullptr ? " team=" + request.team + " cause=" + team_cause : "") +
+        " retry_after_ms=" + std::to_string(retry_after.count()));
     answer.respond(platform::own_response(http::status::service_unavailable,
                                           std::string("not run: ") + reason,
                                           retry_after));
--- a/curranthoist/frontd/front_process.hpp
+++ b/curranthoist/frontd/front_process.hpp
@@ -46,9 +46,11 @@
     void on_state(const coreclient::received_state& state);
     // Lets a pending configuration take effect if it may.
     void switch_configuration();
-    // Answers a request that this process can't take now; it has not run.
+    // Answers a request that this process can't take now; it has not run. `team_cause`
+    // says why its team gets no place.
     void refuse(const platform::inbound_request& request, const http::responder& answer,
-                const char* reason, base::duration retry_after);
+                const char* reason, base::duration retry_after,
+                const char* team_cause = nullptr);
     void on_listing(const deployment::listing_change& change);
     // Takes back what waits for a connection to a target that must get no more requests;
     // each request is sent to another target, or refused if there is none.
@@ -59,6 +61,10 @@
     // its limit.
     bool admit_team(platform::inbound_request& request, const deployment::route& route,
                     const http::responder& answer);
+    // Decides whether the request's team gets a place now. Refuses the request and
+    // returns false if not.
+    bool share_room(const platform::inbound_request& request,
+                    const deployment::route& route, const http::responder& answer);
     // The configuration with the highest version, also before it is in force: withdrawn
     // keys end with it, and new ones begin.
     [[nodiscard]] const deployment::route_table& newest_table() const;
--- a/curranthoist/frontd/task_context.hpp
+++ b/curranthoist/frontd/task_context.hpp
@@ -8,6 +8,7 @@
 #include "curranthoist/forwarding/open_request_limit.hpp"
 #include "curranthoist/forwarding/return_schedule.hpp"
 #include "curranthoist/forwarding/target_directory.hpp"
+#include "curranthoist/forwarding/team_shares.hpp"
 #include "curranthoist/frontd/route_latency.hpp"
 #include "curranthoist/frontd/target_pool.hpp"
 #include "curranthoist/platform/caller_exchange.hpp"
@@ -49,6 +50,8 @@
     forwarding::return_schedule returns = {};
     // The requests of callers and of other fronts that are open at once.
     forwarding::open_request_limit open_requests{{}};
+    // Which teams' requests get that room when it runs short.
+    forwarding::team_shares shares = {};
 
     // The client of a target, within this process's part of the connections that the
     // configuration allows.
