--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -209,8 +209,9 @@
     const base::service_id& service = request_.run->service_of(0);
     const base::instant now = request_.clock.now();
     forwarding::return_schedule::rejection caller;
-    caller.priority = request_.inbound.priority.value_or(request_.route.priority);
+    caller.priority = {request_.inbound.priority.value_or(0), request_.route.priority};
     caller.time_left = request_.hard_limit - now;
+    caller.above_share = context.shares.is_above_share(request_.inbound.team, now);
     // A query goes to many services; the pause of one of them says little about it.
     if (!request_.route.gathers()) {
         caller.known_pause =
--- a/curranthoist/frontd/request_admission.cpp
+++ b/curranthoist/frontd/request_admission.cpp
@@ -52,11 +52,10 @@
             platform::own_response(http::status::not_found, "no route", std::nullopt));
         return std::nullopt;
     }
-    if (!admit_team(request, *route, answer)) {
+    if (!admit_team(request, *route, answer) || !share_room(request, *route, answer)) {
         return std::nullopt;
     }
-    auto place =
-        state_.context.open_requests.take(route->gathers() ? route->shards.size() : 1);
+    auto place = state_.context.open_requests.take(route->send_count());
     if (!place) {
         refuse(request, answer, "too many requests are open", full_retry_after);
         return std::nullopt;
@@ -114,6 +113,24 @@
     return true;
 }
 
+bool request_admission::share_room(const platform::inbound_request& request,
+                                   const deployment::route& route,
+                                   const http::responder& answer)
+{
+    using verdict = forwarding::team_shares::verdict;
+    task_context& context = state_.context;
+    const verdict found = context.shares.decide(
+        request.team, {request.priority.value_or(0), route.priority},
+        context.open_requests.room_for(route.send_count()), clock_.now());
+    if (found == verdict::admitted) {
+        return true;
+    }
+    const char* const cause = forwarding::verdict_name(found);
+    count_team(request.team, cause);
+    refuse(request, answer, "too many requests are open", full_retry_after, cause);
+    return false;
+}
+
 void request_admission::count_team(const std::string& team, const char* outcome)
 {
     state_.context.metrics
@@ -125,10 +142,13 @@
 
 void request_admission::refuse(const platform::inbound_request& request,
                                const http::responder& answer, const char* reason,
-                               base::duration retry_after)
+                               base::duration retry_after, const char* team_cause)
 {
-    log_.info("event=request_refused id=" + request.attempt.str() + " reason=\"" +
-              reason + "\" retry_after_ms=" + std::to_string(retry_after.count()));
+    log_.info(
+        "event=request_refused id=" + request.attempt.str() + " reason=\"" + reason +
+        "\"" +
+        (team_cause != nullptr ? " team=" + request.team + " cause=" + team_cause : "") +
+        " retry_after_ms=" + std::to_string(retry_after.count()));
     answer.respond(platform::own_response(http::status::service_unavailable,
                                           std::string("not run: ") + reason,
                                           retry_after));
--- a/curranthoist/frontd/request_admission.hpp
+++ b/curranthoist/frontd/request_admission.hpp
@@ -42,13 +42,20 @@
                                                const http::responder& answer);
 
 private:
+    // Answers a request that this process can't take now; it has not run. `team_cause`
+    // says why its team gets no place.
     void refuse(const platform::inbound_request& request, const http::responder& answer,
-                const char* reason, base::duration retry_after);
+                const char* reason, base::duration retry_after,
+                const char* team_cause = nullptr);
     // Determines the team of a request by its key. Answers the request and returns false
     // if it may not run: its key is unknown, can't be known now, or its team is beyond
     // its limit.
     bool admit_team(platform::inbound_request& request, const deployment::route& route,
                     const http::responder& answer);
+    // Decides whether the request's team gets a place now. Refuses the request and
+    // returns false if not.
+    bool share_room(const platform::inbound_request& request,
+                    const deployment::route& route, const http::responder& answer);
     void count_team(const std::string& team, const char* outcome);
 
     front_state& state_;
