--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -35,7 +35,7 @@
     , tick_(loop)
 {
     tick_.set<core_links, &core_links::on_tick>(this);
-    tick_.start(report_interval.seconds() / 2, report_interval.seconds() / 2);
+    tick_.start(tick_interval.seconds(), tick_interval.seconds());
     dial_missing();
 }
 
--- a/curranthoist/coreclient/core_links.hpp
+++ b/curranthoist/coreclient/core_links.hpp
@@ -80,6 +80,9 @@
     };
 
     static constexpr base::duration report_interval{400};
+    static constexpr base::duration tick_interval = report_interval / 2;
+    // A report to the leader follows the one before after this time at most.
+    static constexpr base::duration max_report_delay = report_interval + tick_interval;
     // Interval of the reports to members other than the leader while the leader responds.
     // The leader sends new data at once, so the other members need fewer reports.
     static constexpr base::duration follower_report_interval{3600};
--- a/curranthoist/forwarding/target_directory.hpp
+++ b/curranthoist/forwarding/target_directory.hpp
@@ -38,6 +38,7 @@
         std::string own_name = {};
         // Maximum time by which the list lags behind.
         base::duration list_lag{1000};
+        base::duration share_lifetime = version_share::max_lifetime;
     };
     // Counts of the reasons why no target of a service can be chosen, for log lines.
     struct shortage
@@ -57,7 +58,7 @@
 
     explicit target_directory(options directory_options)
         : options_(std::move(directory_options))
-        , versions_(options_.own_name)
+        , versions_(options_.own_name, options_.share_lifetime)
     {}
 
     // Applies a change of the list. Returns the targets that are no longer listed.
--- a/curranthoist/forwarding/target_directory_test.cpp
+++ b/curranthoist/forwarding/target_directory_test.cpp
@@ -499,7 +499,7 @@
     EXPECT_NEAR(send(1000), 100, 1);
     set_share(1.0);
     EXPECT_GE(send(100), 99);
-    advance(version_share::share_limit.count() + 1);
+    advance(version_share::max_lifetime.count() + 1);
     EXPECT_EQ(send(100), 0);
     EXPECT_FALSE(directory_.is_usable(base::target_id("b"), now_));
 }
--- a/curranthoist/forwarding/version_rules.cpp
+++ b/curranthoist/forwarding/version_rules.cpp
@@ -31,8 +31,10 @@
         }
         else {
             services_.insert_or_assign(
-                one.service,
-                service_rules{one, version_share(initial_credit(own_name_, one)), {}});
+                one.service, service_rules{one,
+                                           version_share(initial_credit(own_name_, one),
+                                                         share_lifetime_),
+                                           {}});
         }
     }
     std::erase_if(services_,
--- a/curranthoist/forwarding/version_rules.hpp
+++ b/curranthoist/forwarding/version_rules.hpp
@@ -19,8 +19,11 @@
 class version_rules
 {
 public:
-    explicit version_rules(std::string own_name)
+    // `share_lifetime` is how long a share is in force without a newer one.
+    explicit version_rules(std::string own_name,
+                           base::duration share_lifetime = version_share::max_lifetime)
         : own_name_(std::move(own_name))
+        , share_lifetime_(share_lifetime)
     {}
 
     // Sets the newest roll-out of each service.
@@ -63,6 +66,7 @@
     service_rules* find_running(const base::service_id& service);
 
     std::string own_name_;
+    base::duration share_lifetime_;
     std::map<base::service_id, service_rules> services_;
 };
 
--- a/curranthoist/forwarding/version_share.cpp
+++ b/curranthoist/forwarding/version_share.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-version_share::version_share(double initial_credit)
+version_share::version_share(double initial_credit, base::duration lifetime)
     : credit_(initial_credit)
+    , lifetime_(lifetime)
 {}
 
 void version_share::set(double share, base::instant named_at)
@@ -27,7 +28,7 @@
 
 double version_share::current(base::instant now) const
 {
-    return now - named_at_ <= share_limit ? share_ : 0.0;
+    return now - named_at_ <= lifetime_ ? share_ : 0.0;
 }
 
 bool version_share::is_open(base::instant now) const
--- a/curranthoist/forwarding/version_share_test.cpp
+++ b/curranthoist/forwarding/version_share_test.cpp
@@ -52,8 +52,8 @@
     const base::instant named(10'000);
     version_share share(0.0);
     share.set(1.0, named);
-    EXPECT_TRUE(share.allows_next(named + version_share::share_limit));
-    const base::instant late = named + version_share::share_limit + base::duration(1);
+    EXPECT_TRUE(share.allows_next(named + version_share::max_lifetime));
+    const base::instant late = named + version_share::max_lifetime + base::duration(1);
     EXPECT_FALSE(share.is_open(late));
     EXPECT_EQ(send(share, 100, late), 0);
     share.set(0.0, late);
--- a/curranthoist/platform/node_settings.cpp
+++ b/curranthoist/platform/node_settings.cpp
@@ -255,6 +255,8 @@
     result.cold_slack = values.number("bounds.cold_slack", result.cold_slack);
     result.exposure_share = values.number("bounds.exposure_share", result.exposure_share);
     result.exposure_slack = values.number("bounds.exposure_slack", result.exposure_slack);
+    result.rollback_limit =
+        values.milliseconds("bounds.rollback_ms", result.rollback_limit);
     values.throw_if_any();
     return result;
 }
--- a/curranthoist/platform/node_settings.hpp
+++ b/curranthoist/platform/node_settings.hpp
@@ -75,6 +75,8 @@
     // number on top.
     double exposure_share = 0.1;
     double exposure_slack = 50.0;
+    // From a bad version's fiftieth bad answer until no VM in touch sends it requests.
+    base::duration rollback_limit{5000};
 };
 
 // Reads the settings file whose path the platform leaves in the environment. Throws
