Limit the connections and the memory of ports between processes

Whoever could reach the core's port for fronts and members, or a gatherer's port, could take all of the process's memory and descriptors: each connection was limited for itself (16 MiB a frame, 64 MiB unread), the port was not.

Each port now has a peer_account, which counts connections and frames that arrive or wait before they are held, sized by the VM's memory and descriptors. A connection without a hello gives way first, then one that doesn't progress, then the frame that arrives at the lowest rate. A first frame has 4 KiB at most. Whoever gives way frees its memory at once and is closed from the loop, since its close handler may destroy what the caller works on. Bodies of gather requests count as open sends. The limits lie above what 1,000 VMs need.

--- a/curranthoist/consensus/host_options.hpp
+++ b/curranthoist/consensus/host_options.hpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/endpoint.hpp"
 #include "curranthoist/base/identifiers.hpp"
 #include "curranthoist/consensus/replica_options.hpp"
+#include "curranthoist/wire/peer_account.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -15,6 +16,8 @@
 {
     // Where other members and entry VMs connect.
     base::endpoint listen;
+    // Limits of the connections from them.
+    wire::peer_account::limits accepted;
     base::zone_id zone;
     base::incarnation incarnation;
     // Randomises election timeouts; must differ between members.
--- a/curranthoist/consensus/peer_links.cpp
+++ b/curranthoist/consensus/peer_links.cpp
@@ -32,6 +32,7 @@
     , options_(std::move(options))
     , on_message_(std::move(on_message))
     , on_entry_(std::move(on_entry))
+    , account_(std::make_shared<wire::peer_account>(options_.accepted))
     , listener_(loop, options_.listen, [this](int descriptor) { on_accept(descriptor); })
 {}
 
@@ -119,7 +120,7 @@
         return;
     }
     auto& peer = *accepted_.emplace_back(std::make_unique<accepted_peer>());
-    peer.session = std::make_unique<peer_session>(loop_, descriptor);
+    peer.session = std::make_unique<peer_session>(loop_, descriptor, account_);
     peer.session->set_handlers(
         [this, &peer](const wire::envelope& message) {
             on_accepted_message(peer, message);
--- a/curranthoist/consensus/peer_links.hpp
+++ b/curranthoist/consensus/peer_links.hpp
@@ -5,6 +5,7 @@
 #include "curranthoist/consensus/member.hpp"
 #include "curranthoist/consensus/messages.hpp"
 #include "curranthoist/consensus/peer_session.hpp"
+#include "curranthoist/wire/peer_account.hpp"
 #include "curranthoist/wire/peer_dialer.hpp"
 #include "curranthoist/wire/peer_listener.hpp"
 
@@ -29,6 +30,7 @@
         base::zone_id zone;
         base::incarnation incarnation;
         base::endpoint listen;
+        wire::peer_account::limits accepted = {};
     };
     using message_handler = std::function<void(const message_body&)>;
     // Receives the session of an entry VM and its hello, which is valid during the call.
@@ -79,6 +81,7 @@
     base::monotonic_clock clock_;
     std::map<base::member_id, std::unique_ptr<dialed_peer>> dialed_;
     std::vector<std::unique_ptr<accepted_peer>> accepted_;
+    std::shared_ptr<wire::peer_account> account_;
     wire::peer_listener listener_;
 };
 
--- a/curranthoist/consensus/peer_session.cpp
+++ b/curranthoist/consensus/peer_session.cpp
@@ -2,7 +2,8 @@
 
 namespace curranthoist::consensus {
 
-peer_session::peer_session(ev::loop_ref loop, int descriptor)
+peer_session::peer_session(ev::loop_ref loop, int descriptor,
+                           std::shared_ptr<wire::peer_account> account)
     : connection_(
           loop, descriptor,
           [this](const wire::envelope& message) {
@@ -17,7 +18,8 @@
               if (handler) {
                   handler(reason);
               }
-          })
+          },
+          std::move(account))
 {}
 
 void peer_session::set_handlers(message_handler on_message, close_handler on_close)
--- a/curranthoist/consensus/peer_session.hpp
+++ b/curranthoist/consensus/peer_session.hpp
@@ -4,6 +4,7 @@
 
 #include <ev++.h>
 
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -18,7 +19,8 @@
     using close_handler = wire::peer_connection::close_handler;
 
     // Takes ownership of the connected socket.
-    peer_session(ev::loop_ref loop, int descriptor);
+    peer_session(ev::loop_ref loop, int descriptor,
+                 std::shared_ptr<wire::peer_account> account = nullptr);
     peer_session(const peer_session&) = delete;
     peer_session& operator=(const peer_session&) = delete;
 
--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/findings_error.hpp"
 #include "curranthoist/base/wall_clock.hpp"
 #include "curranthoist/consensus/membership.hpp"
+#include "curranthoist/cored/front_port_limits.hpp"
 #include "curranthoist/cored/operator_server_options.hpp"
 #include "curranthoist/platform/configuration_document.hpp"
 
@@ -148,6 +149,7 @@
 consensus::host_options core_process::host_options() const
 {
     consensus::host_options options;
+    options.accepted = front_port_limits(settings_);
     // On the address where operators are served; others may reach it at another one.
     options.listen = {settings_.operators->address, settings_.first_internal_port};
     options.zone = settings_.zone;
--- a/curranthoist/cored/observer_process.cpp
+++ b/curranthoist/cored/observer_process.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/wall_clock.hpp"
 #include "curranthoist/cored/founder_choice.hpp"
 #include "curranthoist/cored/founding_api.hpp"
+#include "curranthoist/cored/front_port_limits.hpp"
 #include "curranthoist/cored/join_client.hpp"
 #include "curranthoist/cored/operator_server_options.hpp"
 #include "curranthoist/http/status.hpp"
@@ -52,7 +53,8 @@
            settings.zone,
            base::incarnation(
                static_cast<std::uint64_t>(base::wall_clock().now().count())),
-           {settings.operators->address, settings.first_internal_port}},
+           {settings.operators->address, settings.first_internal_port},
+           front_port_limits(settings)},
           [](const consensus::message_body&) {},
           [this](std::unique_ptr<consensus::peer_session> session,
                  const wire::hello& hello) {
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/findings_error.hpp"
 #include "curranthoist/deployment/configuration_bounds.hpp"
 #include "curranthoist/forwarding/gather_plan.hpp"
+#include "curranthoist/frontd/send_memory.hpp"
 #include "curranthoist/http/status.hpp"
 #include "curranthoist/platform/configuration_document.hpp"
 
@@ -61,10 +62,18 @@
 constexpr std::size_t response_memory_divisor = 8;
 // The part that the bodies of callers' requests may fill.
 constexpr std::size_t request_memory_divisor = 8;
-// The part that open requests may take besides their bodies, and what one send to a
-// target takes of it.
+// The part that open requests may take besides their bodies.
 constexpr std::size_t send_memory_divisor = 4;
-constexpr std::size_t bytes_for_send = std::size_t{4} * 1024;
+// The part that frames at the gatherers' port may take.
+constexpr std::size_t gather_memory_divisor = 8;
+// The longest body, and head, of a caller.
+constexpr std::size_t max_gather_request_bytes = std::size_t{2} * 1024 * 1024;
+// Other fronts, which number up to 1,000, have one connection each, and a second one
+// while they replace it.
+constexpr std::size_t max_gather_connections = 2048;
+constexpr std::size_t min_gather_connections = 16;
+// For the other ports, connections to core processes and gatherers, and the loop.
+constexpr std::size_t own_descriptors = 160;
 // The part of the connections that have no open request, so that one of them can make
 // room for a new caller.
 constexpr std::size_t idle_connection_divisor = 4;
@@ -124,6 +133,19 @@
             settings.memory_bytes / send_memory_divisor / bytes_for_send};
 }
 
+wire::peer_account::limits gather_port_limits(const platform::node_settings& settings)
+{
+    const std::size_t taken = reserved_descriptors + descriptor_share(settings) +
+                              caller_options(settings, nullptr).max_connections +
+                              own_descriptors;
+    const std::size_t left =
+        settings.max_descriptors > taken ? settings.max_descriptors - taken : 0;
+    return {std::clamp(left, min_gather_connections, max_gather_connections),
+            std::max(settings.memory_bytes / gather_memory_divisor,
+                     2 * max_gather_request_bytes),
+            max_gather_request_bytes};
+}
+
 platform::node_settings checked(platform::node_settings settings)
 {
     base::findings found;
@@ -161,7 +183,8 @@
     , key_lease_(settings_.revocation_limit)
     , team_admission_(context_.random.next())
     , gather_links_(loop, settings_.name)
-    , gather_server_(loop, gather_endpoint(settings_), context_)
+    , gather_server_(loop, gather_endpoint(settings_), context_,
+                     gather_port_limits(settings_))
     , tick_(loop)
     , started_(clock_.now())
 {
--- a/curranthoist/frontd/gather_server.cpp
+++ b/curranthoist/frontd/gather_server.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/frontd/gather_server.hpp"
 
 #include "curranthoist/frontd/gather_task.hpp"
+#include "curranthoist/frontd/send_memory.hpp"
 #include "curranthoist/frontd/task_context.hpp"
 
 #include <utility>
@@ -8,9 +9,10 @@
 namespace curranthoist::frontd {
 
 gather_server::gather_server(ev::loop_ref loop, const base::endpoint& local,
-                             task_context& context)
+                             task_context& context, wire::peer_account::limits accepted)
     : loop_(loop)
     , context_(context)
+    , account_(std::make_shared<wire::peer_account>(accepted))
     , start_timer_(loop)
     , listener_(loop, local, [this](int descriptor) { on_accept(descriptor); })
 {
@@ -31,7 +33,7 @@
     added = std::make_unique<wire::peer_connection>(
         loop_, descriptor,
         [this, number](const wire::envelope& message) { on_message(number, message); },
-        [this, number](const std::string&) { on_close(number); });
+        [this, number](const std::string&) { on_close(number); }, account_);
     added->expect_message_within(wire::hello_limit);
 }
 
@@ -55,7 +57,9 @@
 {
     const std::size_t count =
         request.services() == nullptr ? 0 : request.services()->size();
-    auto place = context_.open_requests.take(count);
+    // Its body is held until its last send has ended.
+    const std::size_t body_bytes = request.body() == nullptr ? 0 : request.body()->size();
+    auto place = context_.open_requests.take(count + body_bytes / bytes_for_send);
     if (stopping_ || !place || !context_.configuration ||
         !context_.directory.has_listing()) {
         wire::gather_report_message refusal;
--- a/curranthoist/frontd/gather_server.hpp
+++ b/curranthoist/frontd/gather_server.hpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/endpoint.hpp"
 #include "curranthoist/base/logger.hpp"
+#include "curranthoist/wire/peer_account.hpp"
 #include "curranthoist/wire/peer_connection.hpp"
 #include "curranthoist/wire/peer_listener.hpp"
 
@@ -26,7 +27,8 @@
 public:
     // Throws std::system_error if the endpoint can't be bound. The context must outlive
     // the server.
-    gather_server(ev::loop_ref loop, const base::endpoint& local, task_context& context);
+    gather_server(ev::loop_ref loop, const base::endpoint& local, task_context& context,
+                  wire::peer_account::limits accepted = {});
     ~gather_server();
     gather_server(const gather_server&) = delete;
     gather_server& operator=(const gather_server&) = delete;
@@ -54,6 +56,7 @@
     ev::loop_ref loop_;
     task_context& context_;
     base::logger log_{"gather"};
+    std::shared_ptr<wire::peer_account> account_;
     std::map<std::uint64_t, std::unique_ptr<wire::peer_connection>> connections_;
     std::uint64_t last_connection_ = 0;
     std::map<task_key, std::shared_ptr<gather_task>> tasks_;
--- a/curranthoist/testing/platform/greedy_callers_test.cpp
+++ b/curranthoist/testing/platform/greedy_callers_test.cpp
@@ -2,12 +2,17 @@
 // few callers are enough; each test checks what holds at any speed of the machine: the
 // process lives, its memory and descriptors stay within bounds, and an ordinary request
 // is answered beside the greedy callers and after them.
+#include "curranthoist/testing/endless_server.hpp"
 #include "curranthoist/testing/greedy_callers.hpp"
 #include "curranthoist/testing/platform/platform_fixture.hpp"
 #include "curranthoist/testing/process_usage.hpp"
 #include "curranthoist/testing/wait_until.hpp"
+#include "curranthoist/wire/frame_codec.hpp"
 
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace curranthoist::testing {
 namespace {
@@ -38,6 +43,49 @@
     return result;
 }
 
+// The start of a frame between processes that says to be of this size, all but its last
+// bytes.
+std::string short_frame(std::size_t size)
+{
+    constexpr std::size_t missing = 10;
+    constexpr unsigned bits_per_byte = 8;
+    std::string result;
+    for (unsigned i = 0; i < wire::frame_prefix_bytes; ++i) {
+        result += static_cast<char>(size >> (bits_per_byte * i));
+    }
+    return result + std::string(size - missing, 'f');
+}
+
+template <class Message>
+std::string frame_of(Message message)
+{
+    const auto bytes = wire::encode_frame(std::move(message));
+    return {bytes.begin(), bytes.end()};
+}
+
+std::string hello_frame()
+{
+    wire::hello_message message;
+    message.protocol = wire::protocol_version;
+    message.sender = wire::role::entry;
+    message.id = "greedy";
+    return frame_of(std::move(message));
+}
+
+// Requests to gather many parts, whose reports are longer than they are.
+std::string gather_requests(std::size_t count)
+{
+    constexpr std::size_t services = 1000;
+    std::string result;
+    for (std::size_t i = 0; i < count; ++i) {
+        wire::gather_request_message one;
+        one.id = i + 1;
+        one.services.assign(services, "s0");
+        result += frame_of(std::move(one));
+    }
+    return result;
+}
+
 class greedy_callers_test : public platform_fixture
 {
 protected:
@@ -87,6 +135,36 @@
         expect_within_bounds(process);
     }
 
+    // What the ports between processes must bear, with and without a hello.
+    void press_with_frames(const base::endpoint& server, child_process& process)
+    {
+        constexpr std::size_t frame_bytes = std::size_t{1024} * 1024;
+        for (const std::string& greeting : {std::string(), hello_frame()}) {
+            press({.server = server,
+                   .connections = crowd_size,
+                   .bytes = greeting + short_frame(frame_bytes),
+                   .max_opened = max_opened},
+                  process);
+        }
+    }
+
+    void press_with_silence(const base::endpoint& server, child_process& process)
+    {
+        press({.server = server,
+               .connections = 3 * crowd_size,
+               .bytes = std::string(1, '1'),
+               .max_opened = max_opened},
+              process);
+    }
+
+    base::endpoint core_peers() const
+    {
+        return {vms_[0], peers_port};
+    }
+    base::endpoint gatherer() const
+    {
+        return {vms_[0], peers_port + 1};
+    }
     base::endpoint front() const
     {
         return {vms_[0], callers_port};
@@ -200,6 +278,41 @@
           *fronts_[0]);
 }
 
+// Guards against targets that send without end, many at once: each of their responses is
+// within the limit of one.
+TEST_F(greedy_callers_test, many_targets_that_send_without_end)
+{
+    constexpr std::size_t shard_count = 8;
+    constexpr std::uint16_t port = 9400;
+    const std::string records(std::size_t{64} * 1024, '7');
+    nlohmann::json wanted = configuration(7);
+    nlohmann::json shards = nlohmann::json::array();
+    std::vector<std::unique_ptr<endless_server>> servers;
+    for (std::size_t i = 0; i < shard_count; ++i) {
+        const std::string name = "endless" + std::to_string(i);
+        servers.push_back(std::make_unique<endless_server>(
+            "HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n", records));
+        platform_->add({.id = name + "-a",
+                        .service = name,
+                        .address = {new_address(), port},
+                        .listed_address = servers.back()->local()});
+        nlohmann::json service = wanted["services"][0];
+        service["name"] = name;
+        wanted["services"].push_back(service);
+        shards.push_back(name);
+    }
+    wanted["routes"][0]["shard_services"] = shards;
+    serve(wanted);
+    press({.server = front(),
+           .connections = 40,
+           .bytes = requests_ahead("/q/1", 5),
+           .max_opened = 40},
+          *fronts_[0]);
+    for (const auto& one : servers) {
+        EXPECT_GT(one->closed(), 0);
+    }
+}
+
 // Guards against heads that stop short of their end.
 TEST_F(greedy_callers_test, heads_that_stop_short_of_their_end)
 {
@@ -238,5 +351,47 @@
     EXPECT_TRUE(replace(configuration(8)));
 }
 
+// Guards the core process against frames that stop just short of their end at the port
+// of fronts and other core processes.
+TEST_F(greedy_callers_test, frames_that_stop_short_at_the_port_of_fronts)
+{
+    serve(configuration(7));
+    press_with_frames(core_peers(), *cores_[0]);
+    EXPECT_TRUE(replace(configuration(8)));
+}
+
+// Guards the core process against connections that take all its descriptors.
+TEST_F(greedy_callers_test, silent_connections_at_the_port_of_fronts)
+{
+    serve(configuration(7));
+    press_with_silence(core_peers(), *cores_[0]);
+    EXPECT_TRUE(replace(configuration(8)));
+}
+
+// Guards a gatherer against frames that stop just short of their end.
+TEST_F(greedy_callers_test, frames_that_stop_short_at_the_port_of_gatherers)
+{
+    serve(configuration(7));
+    press_with_frames(gatherer(), *fronts_[0]);
+}
+
+// Guards a gatherer against connections that take all its descriptors.
+TEST_F(greedy_callers_test, silent_connections_at_the_port_of_gatherers)
+{
+    serve(configuration(7));
+    press_with_silence(gatherer(), *fronts_[0]);
+}
+
+// Guards a gatherer against reports that nobody reads.
+TEST_F(greedy_callers_test, reports_of_a_gatherer_that_nobody_reads)
+{
+    serve(configuration(7));
+    press({.server = gatherer(),
+           .connections = crowd_size,
+           .bytes = hello_frame() + gather_requests(50),
+           .max_opened = max_opened},
+          *fronts_[0]);
+}
+
 } // namespace
 } // namespace curranthoist::testing
--- a/curranthoist/wire/peer_connection.cpp
+++ b/curranthoist/wire/peer_connection.cpp
@@ -1,5 +1,8 @@
 #include "curranthoist/wire/peer_connection.hpp"
 
+#include "curranthoist/wire/internal/peer_load.hpp"
+#include "curranthoist/wire/peer_account.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cerrno>
@@ -30,13 +33,18 @@
 } // namespace
 
 peer_connection::peer_connection(ev::loop_ref loop, int descriptor,
-                                 message_handler on_message, close_handler on_close)
+                                 message_handler on_message, close_handler on_close,
+                                 std::shared_ptr<peer_account> account)
     : descriptor_(descriptor)
     , on_message_(std::move(on_message))
     , on_close_(std::move(on_close))
     , read_watcher_(loop)
     , write_watcher_(loop)
     , silence_timer_(loop)
+    , account_(std::move(account))
+    , opened_(clock_.now())
+    , last_message_(opened_)
+    , last_progress_(opened_)
 {
     set_socket_options(descriptor_);
     read_watcher_.set<peer_connection, &peer_connection::on_readable>(this);
@@ -44,6 +52,9 @@
     silence_timer_.set<peer_connection, &peer_connection::on_silence>(this);
     read_watcher_.start(descriptor_, ev::READ);
     write_watcher_.set(descriptor_, ev::WRITE);
+    if (account_) {
+        account_->add(*this);
+    }
 }
 
 peer_connection::~peer_connection()
@@ -65,20 +76,69 @@
     silence_timer_.stop();
     ::close(descriptor_);
     descriptor_ = -1;
+    body_ = std::vector<std::uint8_t>();
     queue_.clear();
     queued_bytes_ = 0;
+    if (account_) {
+        account_->give_back(counted_bytes_);
+        account_->remove(*this);
+        counted_bytes_ = 0;
+    }
+}
+
+void peer_connection::give_way(std::string reason)
+{
+    gives_way_because_ = std::move(reason);
+    read_watcher_.stop();
+    write_watcher_.stop();
+    body_ = std::vector<std::uint8_t>();
+    queue_.clear();
+    queued_bytes_ = 0;
+    front_sent_ = 0;
+    account_->give_back(counted_bytes_);
+    counted_bytes_ = 0;
+    account_->remove(*this);
+    // The close handler may destroy what the caller works on.
+    silence_timer_.start(0.0);
+}
+
+internal::peer_load peer_connection::load() const
+{
+    return {greeted_,       opened_,      last_message_, last_progress_,
+            counted_bytes_, body_filled_, frame_began_};
+}
+
+bool peer_connection::count_held(std::size_t body_capacity)
+{
+    if (!account_) {
+        return true;
+    }
+    const auto counted = [](std::size_t bytes) {
+        return bytes > uncounted_bytes ? bytes : 0;
+    };
+    const std::size_t held = counted(body_capacity) + counted(queued_bytes_);
+    if (held > counted_bytes_) {
+        if (!account_->take(*this, held - counted_bytes_)) {
+            return false;
+        }
+    }
+    else {
+        account_->give_back(counted_bytes_ - held);
+    }
+    counted_bytes_ = held;
+    return true;
 }
 
 void peer_connection::expect_message_within(base::duration limit)
 {
-    if (descriptor_ >= 0) {
+    if (is_open()) {
         silence_timer_.start(limit.seconds());
     }
 }
 
 void peer_connection::on_silence(ev::timer& /*watcher*/, int /*events*/)
 {
-    fail("no message in time");
+    fail(gives_way_because_.empty() ? "no message in time" : gives_way_because_);
 }
 
 void peer_connection::fail(const std::string& reason)
@@ -93,11 +153,18 @@
 
 void peer_connection::send_frame(std::vector<std::uint8_t> frame)
 {
-    if (descriptor_ < 0) {
+    if (!is_open()) {
         return;
     }
+    if (queue_.empty()) {
+        last_progress_ = clock_.now();
+    }
     queued_bytes_ += frame.size();
     queue_.push_back(std::move(frame));
+    if (!count_held(body_.capacity())) {
+        give_way("no memory for frames that wait");
+        return;
+    }
     // The socket is written from the loop only, so that a failing write never destroys
     // the connection under its sender.
     write_watcher_.start();
@@ -124,11 +191,14 @@
         bytes_sent_ += static_cast<std::uint64_t>(sent);
         queued_bytes_ -= static_cast<std::size_t>(sent);
         front_sent_ += static_cast<std::size_t>(sent);
+        last_progress_ = clock_.now();
         if (front_sent_ == front.size()) {
             queue_.pop_front();
             front_sent_ = 0;
         }
     }
+    // It holds less than before, so that this never fails.
+    count_held(body_.capacity());
     if (queue_.empty()) {
         write_watcher_.stop();
     }
@@ -178,18 +248,24 @@
                 return true;
             }
             const std::size_t length = frame_length(prefix_);
-            if (length == 0 || length > max_envelope_bytes) {
+            if (length == 0 || length > longest_frame()) {
                 fail("frame length out of range");
                 return false;
             }
             body_.clear();
             body_filled_ = 0;
+            frame_began_ = clock_.now();
         }
         // The body grows with what has arrived, so that a stated length alone makes the
         // process allocate nothing.
         const std::size_t length = frame_length(prefix_);
         const std::size_t taken = std::min(size, length - body_filled_);
+        if (!reserve_body(taken)) {
+            give_way("no memory for a frame that arrives");
+            return false;
+        }
         body_.insert(body_.end(), bytes, bytes + taken);
+        last_progress_ = clock_.now();
         body_filled_ += taken;
         bytes += taken;
         size -= taken;
@@ -200,18 +276,44 @@
     return true;
 }
 
+std::size_t peer_connection::longest_frame() const
+{
+    if (!account_) {
+        return max_envelope_bytes;
+    }
+    return greeted_ ? account_->max_frame_bytes() : max_first_frame_bytes;
+}
+
+bool peer_connection::reserve_body(std::size_t more)
+{
+    const std::size_t needed = body_.size() + more;
+    if (needed <= body_.capacity()) {
+        return true;
+    }
+    const std::size_t capacity =
+        std::max(needed, std::min(frame_length(prefix_), body_.capacity() * 2));
+    if (!count_held(capacity)) {
+        return false;
+    }
+    body_.reserve(capacity);
+    return true;
+}
+
 bool peer_connection::deliver_frame()
 {
     prefix_.clear();
     // The frame is moved out first because the handler may destroy the connection.
     const std::vector<std::uint8_t> frame = std::move(body_);
-    body_.clear();
+    body_ = std::vector<std::uint8_t>();
+    body_filled_ = 0;
     const envelope* message = verified_envelope(frame);
     if (message == nullptr) {
         fail("frame failed verification");
         return false;
     }
     silence_timer_.stop();
+    greeted_ = true;
+    last_message_ = clock_.now();
     closed_flag closed = false;
     closed_in_handler_ = &closed;
     // A copy, because the handler may destroy the connection and with it on_message_.
@@ -221,6 +323,11 @@
         return false;
     }
     closed_in_handler_ = nullptr;
+    if (!is_open()) {
+        return false;
+    }
+    // The frame is about to be released.
+    count_held(body_.capacity());
     return true;
 }
 
--- a/curranthoist/wire/peer_connection.hpp
+++ b/curranthoist/wire/peer_connection.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "curranthoist/base/duration.hpp"
+#include "curranthoist/base/instant.hpp"
+#include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/wire/frame_codec.hpp"
 
 #include <ev++.h>
@@ -9,11 +11,18 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
 namespace curranthoist::wire {
 
+class peer_account;
+
+namespace internal {
+struct peer_load;
+}
+
 // One TCP connection between two of the system's processes. It owns its socket and sends
 // and receives whole frames on the loop. Use peer_listener or peer_dialer to get one.
 //
@@ -24,6 +33,10 @@
 public:
     // What a peer may leave unread before the connection is closed.
     static constexpr std::size_t max_queued_bytes = std::size_t{64} * 1024 * 1024;
+    // The longest first frame of a connection with an account: a hello.
+    static constexpr std::size_t max_first_frame_bytes = std::size_t{4} * 1024;
+    // Frames that arrive or wait up to this size are not counted.
+    static constexpr std::size_t uncounted_bytes = std::size_t{4} * 1024;
 
     // Called for each frame; the envelope is valid during the call only. The handler may
     // destroy the connection.
@@ -33,8 +46,11 @@
     using close_handler = std::function<void(const std::string&)>;
 
     // Takes ownership of the non-blocking, connected or connecting socket `descriptor`.
+    // An accepted connection shares the account of its port; it may be closed, with the
+    // close handler, to make room for others.
     peer_connection(ev::loop_ref loop, int descriptor, message_handler on_message,
-                    close_handler on_close);
+                    close_handler on_close,
+                    std::shared_ptr<peer_account> account = nullptr);
     ~peer_connection();
     peer_connection(const peer_connection&) = delete;
     peer_connection& operator=(const peer_connection&) = delete;
@@ -56,7 +72,10 @@
 
     // Closes the socket without calling the close handler. Queued messages are dropped.
     void close();
-    [[nodiscard]] bool is_open() const { return descriptor_ >= 0; }
+    [[nodiscard]] bool is_open() const
+    {
+        return descriptor_ >= 0 && gives_way_because_.empty();
+    }
     // Bytes that wait to be sent.
     [[nodiscard]] std::size_t queued_bytes() const { return queued_bytes_; }
     // Bytes read from and written to the socket since it was opened.
@@ -64,6 +83,8 @@
     [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
 
 private:
+    friend class peer_account;
+
     // Set to true when the connection is destroyed or closed inside a handler.
     using closed_flag = bool;
 
@@ -75,6 +96,15 @@
     // Consumes received bytes; returns false once the connection is closed.
     bool consume(std::size_t size, const std::uint8_t* bytes);
     bool deliver_frame();
+    // The longest frame that may arrive next.
+    [[nodiscard]] std::size_t longest_frame() const;
+    // Makes room for `more` bytes of the frame that arrives; false if there is none.
+    bool reserve_body(std::size_t more);
+    // Counts what is held now, with a body of this capacity; false if that has no room.
+    bool count_held(std::size_t body_capacity);
+    // Lets go of everything now and closes the connection from the loop.
+    void give_way(std::string reason);
+    [[nodiscard]] internal::peer_load load() const;
     void fail(const std::string& reason);
     void write_queue();
 
@@ -93,6 +123,16 @@
     std::uint64_t bytes_received_ = 0;
     std::uint64_t bytes_sent_ = 0;
     closed_flag* closed_in_handler_ = nullptr;
+    std::shared_ptr<peer_account> account_;
+    // What the account has counted.
+    std::size_t counted_bytes_ = 0;
+    std::string gives_way_because_;
+    bool greeted_ = false;
+    base::monotonic_clock clock_;
+    base::instant opened_;
+    base::instant last_message_;
+    base::instant last_progress_;
+    base::instant frame_began_;
 };
 
 } // namespace curranthoist::wire
