--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -84,7 +84,8 @@
              forwarding::key_lease(settings_.revocation_limit),
              forwarding::team_admission(std::random_device()())}
     , gather_links_(loop, settings_.name)
-    , gather_server_(loop, gather_endpoint(settings_), state_.context)
+    , gather_server_(loop, gather_endpoint(settings_), state_.context,
+                     gather_port_limits(settings_))
     , upkeep_(state_, settings_.zone)
     , updates_(state_, upkeep_, gather_links_, settings_.zone,
                [this](const deployment::configuration& now) { set_caller_limits(now); })
--- a/curranthoist/frontd/process_limits.cpp
+++ b/curranthoist/frontd/process_limits.cpp
@@ -1,5 +1,7 @@
 #include "curranthoist/frontd/process_limits.hpp"
 
+#include "curranthoist/frontd/send_memory.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -16,10 +18,18 @@
 constexpr std::size_t response_memory_divisor = 8;
 // The part that the bodies of callers' requests may fill.
 constexpr std::size_t request_memory_divisor = 8;
-// The part that open requests may take besides their bodies, and what one send to a
-// target takes of it.
+// The part that open requests may take besides their bodies.
 constexpr std::size_t send_memory_divisor = 4;
-constexpr std::size_t bytes_for_send = std::size_t{4} * 1024;
+// The part that frames at the gatherers' port may take.
+constexpr std::size_t gather_memory_divisor = 8;
+// The longest body, and head, of a caller.
+constexpr std::size_t max_gather_request_bytes = std::size_t{2} * 1024 * 1024;
+// Other fronts, which number up to 1,000, have one connection each, and a second one
+// while they replace it.
+constexpr std::size_t max_gather_connections = 2048;
+constexpr std::size_t min_gather_connections = 16;
+// For the other ports, connections to core processes and gatherers, and the loop.
+constexpr std::size_t own_descriptors = 160;
 // The part of the connections that have no open request, so that one of them can make
 // room for a new caller.
 constexpr std::size_t idle_connection_divisor = 4;
@@ -72,4 +82,17 @@
             settings.memory_bytes / send_memory_divisor / bytes_for_send};
 }
 
+wire::peer_account::limits gather_port_limits(const platform::node_settings& settings)
+{
+    const std::size_t taken = reserved_descriptors + descriptor_share(settings) +
+                              caller_options(settings, nullptr).max_connections +
+                              own_descriptors;
+    const std::size_t left =
+        settings.max_descriptors > taken ? settings.max_descriptors - taken : 0;
+    return {std::clamp(left, min_gather_connections, max_gather_connections),
+            std::max(settings.memory_bytes / gather_memory_divisor,
+                     2 * max_gather_request_bytes),
+            max_gather_request_bytes};
+}
+
 } // namespace curranthoist::frontd
--- a/curranthoist/frontd/process_limits.hpp
+++ b/curranthoist/frontd/process_limits.hpp
@@ -4,6 +4,7 @@
 #include "curranthoist/forwarding/open_request_limit.hpp"
 #include "curranthoist/http/caller_server.hpp"
 #include "curranthoist/platform/node_settings.hpp"
+#include "curranthoist/wire/peer_account.hpp"
 
 #include <cstddef>
 #include <memory>
@@ -38,4 +39,8 @@
 [[nodiscard]] forwarding::open_request_limit::options
 open_request_options(const platform::node_settings& settings);
 
+// What other processes may hold at the gatherers' port.
+[[nodiscard]] wire::peer_account::limits
+gather_port_limits(const platform::node_settings& settings);
+
 } // namespace curranthoist::frontd
