Hold the teams' limits when reports, the leader or VMs are lost

And accounts that start empty and hold no more than the burst refuse teams with rates below one request a second whose second request follows soon.

- An account holds a quarter of the slack beside the burst, and a new one starts with that, less a second of the rate.

--- a/curranthoist/cored/team_accounts.cpp
+++ b/curranthoist/cored/team_accounts.cpp
@@ -17,8 +17,9 @@
 // Reports about this much of the demand are on their way; with fewer tokens than that a
 // share is named.
 constexpr double report_delay_s = 0.8;
-// The part of the slack that reports on their way may take.
-constexpr double slack_part = 0.5;
+// The part of the slack that an account holds beside the burst, and that reports on their
+// way may take.
+constexpr double slack_part = 0.25;
 
 double seconds_between(base::instant later, base::instant earlier)
 {
@@ -41,21 +42,24 @@
             one = known->second;
         }
         else {
+            // What the team has sent before is not known to a new leader; the slack
+            // covers that of a second.
+            one.tokens = std::max(0.0, slack_ * slack_part - team.rate * spread_s);
             one.filled_at = now;
             one.measured_at = now;
         }
         one.rate = team.rate;
         one.burst = team.burst;
-        one.tokens = std::min(one.tokens, one.burst);
+        one.tokens = std::min(one.tokens, one.burst + slack_ * slack_part);
         next.emplace(team.name, one);
     }
     accounts_ = std::move(next);
 }
 
-void team_accounts::fill(account& one, base::instant now)
+void team_accounts::fill(account& one, base::instant now) const
 {
-    one.tokens =
-        std::min(one.tokens + one.rate * seconds_between(now, one.filled_at), one.burst);
+    one.tokens = std::min(one.tokens + one.rate * seconds_between(now, one.filled_at),
+                          one.burst + slack_ * slack_part);
     one.filled_at = now;
 }
 
--- a/curranthoist/cored/team_accounts.hpp
+++ b/curranthoist/cored/team_accounts.hpp
@@ -17,13 +17,13 @@
 //
 // VMs report what they admitted some tenths of a second late; what they admitted too much
 // meanwhile is taken off what follows, so that the sum over a window of some seconds
-// holds. An account starts empty, so that a change of the leader adds no burst.
+// holds. An account starts without its burst, so that a change of the leader adds none.
 class team_accounts
 {
 public:
-    // All VMs together may admit `slack` requests too many before a share binds. Half of
-    // it is left to reports on their way, so that a team that only seems to be beyond its
-    // limit for a moment is not refused.
+    // All VMs together may admit `slack` requests too many before a share binds. A part
+    // of it is saved up beside the burst and left to reports on their way, so that a team
+    // that only seems to be beyond its limit for a moment is not refused.
     explicit team_accounts(double slack)
         : slack_(slack)
     {}
@@ -48,7 +48,7 @@
         base::instant measured_at;
     };
 
-    static void fill(account& one, base::instant now);
+    void fill(account& one, base::instant now) const;
     static void measure(account& one, base::instant now);
 
     double slack_;
--- a/curranthoist/cored/team_accounts_test.cpp
+++ b/curranthoist/cored/team_accounts_test.cpp
@@ -48,7 +48,7 @@
                                   report_interval.count() /
                                   static_cast<std::int64_t>(vms_.size());
                 if (now_.count() % report_interval.count() == turn) {
-                    accounts_.add(vms_[vm]->take_uses(), now_);
+                    accounts_.add(vms_[vm]->report_uses(), now_);
                     vms_[vm]->on_leader(now_);
                     vms_[vm]->set_shares(accounts_.shares(now_));
                 }
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -231,7 +231,7 @@
         context_.directory.versions().set_shares(shares, at);
     };
     on.answers_by_version = [this] { return context_.directory.versions().answers(); };
-    on.team_uses = [this] { return team_admission_.take_uses(); };
+    on.team_uses = [this] { return team_admission_.report_uses(); };
     return on;
 }
 
