--- a/curranthoist/frontd/core_updates.cpp
+++ b/curranthoist/frontd/core_updates.cpp
@@ -67,7 +67,7 @@
     on.answers_by_version = [this] {
         return state_.context.directory.versions().answers();
     };
-    on.team_uses = [this] { return state_.team_admission.take_uses(); };
+    on.team_uses = [this] { return state_.team_admission.report_uses(); };
     return on;
 }
 
