Hold a joining version back until its order can be known

Cause: a front that saw the targets of an ordered version in the list before it had the order sent to them like to any other. Change: a listing names the newest state that its sender knew. A version that joins a service with targets of another version, and that no known order names, gets nothing until the front has that state, and for two seconds from the reading, since an order may be committed after its targets are listed. Versions of a service's first reading are established at once.

--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -461,6 +461,7 @@
               " removed=" + std::to_string(change.removed.size()) +
               " age_ms=" + std::to_string(age.count()));
     change.read_at = clock_.now() - age;
+    change.state_index = base::log_index(listing.state_index());
     callbacks_.on_listing(change);
 }
 
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -416,6 +416,7 @@
     message.term = listing_->number.term;
     message.sequence = listing_->number.sequence;
     message.base = base;
+    message.state_index = state_.changed_at().value();
     message.age_ms =
         static_cast<std::uint64_t>((clock_.now() - listing_->read_at).count());
     for (const deployment::listed_target& one : change.targets) {
--- a/curranthoist/cored/rollback_bound_test.cpp
+++ b/curranthoist/cored/rollback_bound_test.cpp
@@ -55,7 +55,7 @@
         fronts_.push_back(
             {"calm", forwarding::version_rules("calm", lifetime), start_, {}});
         for (front& one : fronts_) {
-            one.rules.set_rollouts(std::vector{order});
+            one.rules.set_rollouts(std::vector{order}, base::log_index(1));
         }
         judges_.set_rollouts(rollouts_, start_, wall_);
     }
--- a/curranthoist/deployment/listing_change.hpp
+++ b/curranthoist/deployment/listing_change.hpp
@@ -21,6 +21,8 @@
     std::vector<base::target_id> removed = {};
     // The time at which the reading began.
     base::instant read_at = {};
+    // The newest state that the reader knew.
+    base::log_index state_index = {};
 };
 
 // Returns the changes from one list to the next. Both lists must be sorted by target id;
--- a/curranthoist/forwarding/target_directory.cpp
+++ b/curranthoist/forwarding/target_directory.cpp
@@ -91,15 +91,17 @@
         remove(id);
     }
     for (const deployment::listed_target& target : change.targets) {
-        add(target, change.read_at);
+        add(target, change);
     }
     has_listing_ = true;
     read_at_ = std::max(read_at_, change.read_at);
     return removed_ids;
 }
 
-void target_directory::add(const deployment::listed_target& target, base::instant read_at)
+void target_directory::add(const deployment::listed_target& target,
+                           const deployment::listing_change& change)
 {
+    const base::instant read_at = change.read_at;
     const auto found = targets_.find(target.id);
     const bool same_instance = found != targets_.end() &&
                                found->second.listed.address == target.address &&
@@ -107,6 +109,7 @@
     if (!same_instance) {
         remove(target.id);
     }
+    versions_.on_listed(target.service, target.version, read_at, change.state_index);
     target_state& state = targets_[target.id];
     if (!same_instance) {
         services_[target.service].targets.push_back(&state);
@@ -129,7 +132,14 @@
         return;
     }
     const auto found_service = services_.find(found->second.listed.service);
-    std::erase(found_service->second.targets, &found->second);
+    std::vector<target_state*>& others = found_service->second.targets;
+    std::erase(others, &found->second);
+    const std::string& version = found->second.listed.version;
+    if (std::none_of(others.begin(), others.end(), [&version](const auto* other) {
+            return other->listed.version == version;
+        })) {
+        versions_.on_unlisted(found_service->first, version);
+    }
     if (found_service->second.targets.empty()) {
         services_.erase(found_service);
     }
--- a/curranthoist/forwarding/target_directory.hpp
+++ b/curranthoist/forwarding/target_directory.hpp
@@ -194,7 +194,8 @@
         [[nodiscard]] base::duration half_life() const;
     };
 
-    void add(const deployment::listed_target& target, base::instant read_at);
+    void add(const deployment::listed_target& target,
+             const deployment::listing_change& change);
     void record_sample(const target_state& target, response_kind kind,
                        base::duration latency, base::duration expected_latency);
     void remove(const base::target_id& id);
--- a/curranthoist/forwarding/target_directory_test.cpp
+++ b/curranthoist/forwarding/target_directory_test.cpp
@@ -466,13 +466,28 @@
         const std::vector<deployment::rollout> rollouts{
             {service, "v2", "v1", duration(12'000), instant(1), phase,
              std::move(excluded_versions)}};
-        directory_.versions().set_rollouts(rollouts);
+        directory_.versions().set_rollouts(rollouts, state_index_);
+    }
+    // Lists the old target alone, and then both; the reader knows the state of `index`.
+    void list_new_target(base::log_index index)
+    {
+        auto old_target = target("a");
+        old_target.version = "v1";
+        auto new_target = target("b");
+        new_target.version = "v2";
+        directory_.versions().set_rollouts({}, state_index_);
+        directory_.apply({.targets = {old_target}, .read_at = now_});
+        advance(1000);
+        directory_.apply(
+            {.targets = {old_target, new_target}, .read_at = now_, .state_index = index});
     }
     void set_share(double share)
     {
         const std::vector<deployment::rollout_share> shares{{service, "v2", share}};
         directory_.versions().set_shares(shares, now_);
     }
+    const base::log_index state_index_{5};
+
     // Returns how many of `count` requests go to the new target.
     int send(int count)
     {
@@ -525,6 +540,48 @@
     EXPECT_EQ(chosen("b"), "a");
 }
 
+// Guards against requests to new targets that are listed before their order is known.
+TEST_F(rollout_directory_test, a_joining_version_waits_for_the_state_of_its_reading)
+{
+    list_new_target(base::log_index(6));
+    advance(version_rules::join_hold.count() * 10);
+    EXPECT_EQ(chosen("a"), "");
+    directory_.versions().set_rollouts({}, base::log_index(6));
+    EXPECT_EQ(chosen("a"), "b");
+}
+
+// Guards against requests to new targets whose order is committed after they are listed,
+// and against targets that get nothing though no order comes.
+TEST_F(rollout_directory_test, a_joining_version_waits_for_an_order_of_its_own)
+{
+    list_new_target(state_index_);
+    advance(version_rules::join_hold.count() - 1);
+    EXPECT_EQ(chosen("a"), "");
+    EXPECT_EQ(chosen("b"), "a");
+    set_phase(deployment::rollout_phase::running);
+    set_share(1.0);
+    EXPECT_EQ(chosen("a"), "b");
+    directory_.versions().set_rollouts({}, state_index_);
+    EXPECT_EQ(chosen("a"), "");
+    advance(1);
+    EXPECT_EQ(chosen("a"), "b");
+}
+
+// Guards against a service without usable targets when the first reading names two
+// versions, or when all targets are replaced by those of another version at once.
+TEST_F(rollout_directory_test, established_versions_are_used_at_once)
+{
+    directory_.versions().set_rollouts({}, state_index_);
+    EXPECT_EQ(chosen("a"), "b");
+    EXPECT_EQ(chosen("b"), "a");
+    directory_.apply({.targets = {}, .read_at = now_});
+    advance(1000);
+    auto other = target("c");
+    other.version = "v3";
+    directory_.apply({.targets = {other}, .read_at = now_});
+    EXPECT_EQ(chosen(), "c");
+}
+
 // Guards against answers that are counted for the wrong version, and against calls that
 // were never run or were overtaken counted as bad.
 TEST_F(rollout_directory_test, answers_are_counted_by_version)
--- a/curranthoist/forwarding/version_rules.cpp
+++ b/curranthoist/forwarding/version_rules.cpp
@@ -20,8 +20,10 @@
 
 } // namespace
 
-void version_rules::set_rollouts(std::span<const deployment::rollout> rollouts)
+void version_rules::set_rollouts(std::span<const deployment::rollout> rollouts,
+                                 base::log_index index)
 {
+    state_index_ = index;
     std::set<base::service_id> named;
     for (const deployment::rollout& one : rollouts) {
         named.insert(one.service);
@@ -41,6 +43,44 @@
                   [&named](const auto& one) { return !named.contains(one.first); });
 }
 
+void version_rules::on_listed(const base::service_id& service, const std::string& version,
+                              base::instant read_at, base::log_index state_index)
+{
+    listed_versions& listed = listed_[service];
+    if (listed.versions.empty()) {
+        listed.first_read_at = read_at;
+    }
+    // A target's entry is repeated when its state changes.
+    listed.versions.try_emplace(version, listed_version{read_at == listed.first_read_at
+                                                            ? base::instant()
+                                                            : read_at + join_hold,
+                                                        state_index});
+}
+
+void version_rules::on_unlisted(const base::service_id& service,
+                                const std::string& version)
+{
+    const auto listed = listed_.find(service);
+    if (listed != listed_.end()) {
+        listed->second.versions.erase(version);
+        if (listed->second.versions.empty()) {
+            listed_.erase(listed);
+        }
+    }
+}
+
+bool version_rules::is_held(const base::service_id& service, const std::string& version,
+                            base::instant now) const
+{
+    const auto listed = listed_.find(service);
+    if (listed == listed_.end() || listed->second.versions.size() < 2) {
+        return false;
+    }
+    const auto found = listed->second.versions.find(version);
+    return found != listed->second.versions.end() &&
+           (state_index_ < found->second.state_index || now < found->second.held_until);
+}
+
 void version_rules::set_shares(std::span<const deployment::rollout_share> shares,
                                base::instant named_at)
 {
@@ -80,12 +120,17 @@
 {
     const auto found = services_.find(service);
     if (found == services_.end()) {
-        return true;
+        return !is_held(service, version, now);
     }
     const service_rules& rules = found->second;
     if (rules.order.excluded_versions.contains(version)) {
         return false;
     }
+    const bool is_named =
+        version == rules.order.target_version || version == rules.order.base_version;
+    if (!is_named && is_held(service, version, now)) {
+        return false;
+    }
     return rules.order.phase != deployment::rollout_phase::running ||
            version != rules.order.target_version || rules.share.is_open(now);
 }
--- a/curranthoist/forwarding/version_rules.hpp
+++ b/curranthoist/forwarding/version_rules.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "curranthoist/base/identifiers.hpp"
 #include "curranthoist/deployment/rollout.hpp"
 #include "curranthoist/deployment/rollout_share.hpp"
 #include "curranthoist/deployment/version_answers.hpp"
@@ -19,6 +20,9 @@
 class version_rules
 {
 public:
+    // An order is committed or refused within this time, unless the core has no leader.
+    static constexpr base::duration join_hold{2000};
+
     // `share_lifetime` is how long a share is in force without a newer one.
     explicit version_rules(std::string own_name,
                            base::duration share_lifetime = version_share::max_lifetime)
@@ -26,8 +30,18 @@
         , share_lifetime_(share_lifetime)
     {}
 
-    // Sets the newest roll-out of each service.
-    void set_rollouts(std::span<const deployment::rollout> rollouts);
+    // Sets the newest roll-out of each service, by the state of `index`.
+    void set_rollouts(std::span<const deployment::rollout> rollouts,
+                      base::log_index index);
+    // Records a listed target's version. One that joins a service with targets of another
+    // version, and that no known order names, is held back: until the state that the
+    // list's reader knew is known, and for `join_hold` from the reading, as its order may
+    // be committed after its targets are listed. The versions of a service's first
+    // reading are established.
+    void on_listed(const base::service_id& service, const std::string& version,
+                   base::instant read_at, base::log_index state_index);
+    // Records that the service has no listed target of the version any longer.
+    void on_unlisted(const base::service_id& service, const std::string& version);
     // Sets the shares that the leader named at `named_at` or later. A running roll-out
     // that it did not name gets nothing.
     void set_shares(std::span<const deployment::rollout_share> shares,
@@ -60,6 +74,20 @@
         std::map<std::string, deployment::version_answers> answers;
     };
 
+    struct listed_version
+    {
+        // Held back before this time and without a state of this index.
+        base::instant held_until;
+        base::log_index state_index;
+    };
+    struct listed_versions
+    {
+        base::instant first_read_at = base::instant::max();
+        std::map<std::string, listed_version> versions;
+    };
+
+    [[nodiscard]] bool is_held(const base::service_id& service,
+                               const std::string& version, base::instant now) const;
     // Null if no roll-out of the service runs.
     [[nodiscard]] const service_rules*
     find_running(const base::service_id& service) const;
@@ -68,6 +96,8 @@
     std::string own_name_;
     base::duration share_lifetime_;
     std::map<base::service_id, service_rules> services_;
+    base::log_index state_index_;
+    std::map<base::service_id, listed_versions> listed_;
 };
 
 } // namespace curranthoist::forwarding
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -241,7 +241,8 @@
 void front_process::on_state(const coreclient::received_state& state)
 {
     context_.directory.set_evacuated(state.evacuated, clock_.now());
-    context_.directory.versions().set_rollouts(state.rollouts);
+    context_.directory.versions().set_rollouts(state.rollouts,
+                                               base::log_index(state.index));
     withdraw_unsent(clock_.now());
     if (state.version <= configuration_.offered_version()) {
         key_lease_.hold(state.index);
