Decide a roll-out with few answers by the likelier case

Cause: a version that the test had neither accepted nor refused completed unless the evidence was beyond half of the bound. Change: below the number of answers that can accept a version, it completes only if a good version is the likelier case. The verdict of an untested version comes 1.5 s before the deadline if that is later than before. A service whose requests are too few for the steps sends half of them to the unproven version, within the exposure's slack. The two new tests fail with the earlier judge; the other tests of rollout_judge_test pass unchanged.

--- a/curranthoist/cored/rollout_judge.cpp
+++ b/curranthoist/cored/rollout_judge.cpp
@@ -13,9 +13,10 @@
 constexpr std::array<double, 6> share_steps{0.02, 0.05, 0.1, 0.25, 0.5, 1.0};
 // The part of the remaining time that the steps take together.
 constexpr double steps_part = 0.7;
-// Without enough answers for the test, the verdict follows after this part of the time,
-// which leaves time to commit it before the deadline.
-constexpr double verdict_part = 0.85;
+// Without enough answers for the test, the verdict follows so long before the deadline
+// that it is committed by then, and not before this part of the time.
+constexpr base::duration commit_limit{1500};
+constexpr double min_verdict_part = 0.85;
 // A leader that takes over shortly before the deadline needs this time to hear the
 // fronts.
 constexpr base::duration min_remaining{2000};
@@ -42,6 +43,14 @@
 // The part of the exposure's slack that an unproven version may use; the rest is for
 // answers that the leader doesn't know of yet.
 constexpr double slack_part = 0.5;
+// The steps give the version about this part of the requests that arrive until the
+// deadline.
+constexpr double answered_part = 0.35;
+// The share of an unproven version of a service with so few requests that the steps give
+// too few answers for the test. The exposure's slack bounds what it gets.
+constexpr double slow_service_share = 0.5;
+// The rate of requests is known after this time.
+constexpr base::duration min_rate_time{800};
 
 double roll_back_bound()
 {
@@ -60,6 +69,13 @@
     return roll_back_bound() / 2;
 }
 
+// Answers without a bad one that accept a version, if the old one's are rarely bad.
+double answers_to_accept()
+{
+    return accept_bound() /
+           std::log((1 - min_usual_bad - bad_share_difference) / (1 - min_usual_bad));
+}
+
 base::duration part_of(base::duration whole, double part)
 {
     return base::duration(
@@ -120,6 +136,16 @@
     return evidence_ > suspect_bound();
 }
 
+bool rollout_judge::is_slow_service() const
+{
+    if (elapsed_ < min_rate_time) {
+        return false;
+    }
+    const double rate =
+        static_cast<double>(old_.answers + ordered_.answers) / elapsed_.seconds();
+    return rate * remaining_.seconds() * answered_part < answers_to_accept();
+}
+
 bool rollout_judge::is_beyond_exposure() const
 {
     const auto all = static_cast<double>(old_.answers + ordered_.answers);
@@ -138,7 +164,7 @@
         verdict_ = rollout_phase::rolled_back;
         return;
     }
-    const base::duration elapsed = now - started_;
+    elapsed_ = now - started_;
     const base::duration step_time =
         part_of(remaining_, steps_part / static_cast<double>(share_steps.size()));
     const bool is_last = step_ + 1 == share_steps.size();
@@ -155,11 +181,16 @@
             step_began_ = was_held ? now : step_began_ + step_time;
         }
     }
-    if (elapsed >= part_of(remaining_, verdict_part)) {
-        // Old targets stop when a roll-out completes, so a version that has answered
-        // nothing must not replace them.
-        verdict_ = !is_suspect() && ordered_.answers > 0 ? rollout_phase::completed
-                                                         : rollout_phase::rolled_back;
+    if (elapsed_ >=
+        std::max(part_of(remaining_, min_verdict_part), remaining_ - commit_limit)) {
+        // With too few answers for the test the likelier case decides, since either error
+        // costs the operator as much. Old targets stop when a roll-out completes, so a
+        // version that has answered nothing must not replace them.
+        const bool is_tested =
+            static_cast<double>(ordered_.answers) >= answers_to_accept();
+        const bool is_good = is_tested ? !is_suspect() : evidence_ <= 0;
+        verdict_ = is_good && ordered_.answers > 0 ? rollout_phase::completed
+                                                   : rollout_phase::rolled_back;
     }
 }
 
@@ -173,9 +204,12 @@
     case rollout_phase::running:
         break;
     }
-    const double step = share_steps[step_];
-    return !accepted_ && is_beyond_exposure() ? std::min(step, options_.exposure_share)
-                                              : step;
+    double share = share_steps[step_];
+    if (!accepted_ && !is_suspect() && is_slow_service()) {
+        share = std::max(share, slow_service_share);
+    }
+    return !accepted_ && is_beyond_exposure() ? std::min(share, options_.exposure_share)
+                                              : share;
 }
 
 } // namespace curranthoist::cored
--- a/curranthoist/cored/rollout_judge.hpp
+++ b/curranthoist/cored/rollout_judge.hpp
@@ -45,11 +45,13 @@
 private:
     [[nodiscard]] double usual_bad_share() const;
     [[nodiscard]] bool is_suspect() const;
+    [[nodiscard]] bool is_slow_service() const;
     [[nodiscard]] bool is_beyond_exposure() const;
 
     options options_;
     base::duration remaining_;
     base::instant started_;
+    base::duration elapsed_;
     base::instant step_began_;
     std::size_t step_ = 0;
     counts old_;
--- a/curranthoist/cored/rollout_judge_test.cpp
+++ b/curranthoist/cored/rollout_judge_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <functional>
 
 namespace curranthoist::cored {
@@ -48,8 +49,9 @@
         const double next_share = judge.share();
         rollout_judge::counts old_now;
         rollout_judge::counts ordered_now;
-        const int requests = static_cast<int>(requests_per_s * report_interval.seconds());
-        for (int i = 0; i < requests; ++i) {
+        const auto due = static_cast<std::uint64_t>(
+            std::llround(requests_per_s * (at + report_interval).seconds()));
+        while (result.all < due) {
             ++result.all;
             credit += share;
             const bool first_route = draw() < 1.0 / 3;
@@ -201,6 +203,98 @@
     EXPECT_EQ(judge.share(), 0.0);
 }
 
+// Returns the verdict on a version that gives so many answers until the deadline, of
+// which the bad ones come evenly, beside an old version with one bad answer in a hundred.
+rollout_phase verdict_on(std::uint64_t answers, std::uint64_t bad)
+{
+    const base::instant start(1000);
+    rollout_judge judge({}, duration, start);
+    judge.add({1000, 10}, {});
+    for (std::uint64_t i = 0; i < answers; ++i) {
+        const bool is_bad = (i + 1) * bad / answers > i * bad / answers;
+        judge.add({}, {1, is_bad ? 1U : 0U});
+        judge.update(start + base::duration(1));
+    }
+    for (base::duration at; at < duration; at += report_interval) {
+        judge.update(start + at);
+    }
+    return judge.verdict();
+}
+
+// Probabilities that a good version (0.01 of the answers are bad) is rolled back and that
+// a bad one (0.3) completes.
+struct error_rates
+{
+    double good_rolled_back = 0;
+    double bad_completed = 0;
+};
+
+error_rates errors_with(std::uint64_t answers)
+{
+    constexpr double good = 0.01;
+    constexpr double bad = 0.3;
+    error_rates result;
+    double ways = 1;
+    for (std::uint64_t k = 0; k <= answers; ++k) {
+        const auto failed = static_cast<double>(k);
+        const auto rest = static_cast<double>(answers - k);
+        if (verdict_on(answers, k) == rollout_phase::completed) {
+            result.bad_completed +=
+                ways * std::pow(bad, failed) * std::pow(1 - bad, rest);
+        }
+        else {
+            result.good_rolled_back +=
+                ways * std::pow(good, failed) * std::pow(1 - good, rest);
+        }
+        ways *= rest / (failed + 1);
+    }
+    return result;
+}
+
+// Guards against a verdict on few answers that errs more often than the design note
+// states.
+TEST(rollout_judge_test, the_errors_with_few_answers_are_those_that_are_stated)
+{
+    struct stated
+    {
+        std::uint64_t answers;
+        double good_rolled_back;
+        double bad_completed;
+    };
+    for (const stated& one :
+         {stated{5, 0.05, 0.17}, stated{8, 0.08, 0.06}, stated{12, 0.12, 0.015},
+          stated{20, 0.19, 0.001}, stated{25, 0.03, 0.002}, stated{40, 0.065, 0.001}}) {
+        const error_rates rates = errors_with(one.answers);
+        EXPECT_LE(rates.good_rolled_back, one.good_rolled_back) << one.answers;
+        EXPECT_LE(rates.bad_completed, one.bad_completed) << one.answers;
+    }
+}
+
+// Guards against bad versions of services with few requests that complete, and against
+// good ones that never do.
+TEST(rollout_judge_test, services_with_few_requests_are_judged_within_the_stated_errors)
+{
+    struct stated
+    {
+        double requests_per_s;
+        double good_rolled_back;
+        double bad_completed;
+    };
+    for (const stated& one :
+         {stated{2, 0.12, 0.06}, stated{5, 0.1, 0.005}, stated{10, 0.07, 0.005}}) {
+        const summary good = replay_all([](base::duration, double, bool) { return 0.01; },
+                                        0.01, one.requests_per_s);
+        const summary bad = replay_all([](base::duration, double, bool) { return 0.3; },
+                                       0.01, one.requests_per_s);
+        EXPECT_LE(good.rolled_back, one.good_rolled_back * seeds) << one.requests_per_s;
+        EXPECT_EQ(good.completed + good.rolled_back, seeds) << one.requests_per_s;
+        EXPECT_LE(bad.completed, one.bad_completed * seeds) << one.requests_per_s;
+        EXPECT_EQ(bad.beyond_exposure, 0U) << one.requests_per_s;
+        EXPECT_LT(bad.max_bad, 50U) << one.requests_per_s;
+        EXPECT_LT(good.last_end, duration - base::duration(1000));
+    }
+}
+
 // Guards against many requests to an unproven version in a service with much traffic,
 // whose answers are late.
 TEST(rollout_judge_test, an_unproven_version_keeps_within_the_exposure)
