--- a/curranthoist/frontd/core_updates.cpp
+++ b/curranthoist/frontd/core_updates.cpp
@@ -74,7 +74,8 @@
 void core_updates::on_state(const coreclient::received_state& state)
 {
     state_.context.directory.set_evacuated(state.evacuated, clock_.now());
-    state_.context.directory.versions().set_rollouts(state.rollouts);
+    state_.context.directory.versions().set_rollouts(state.rollouts,
+                                                     base::log_index(state.index));
     upkeep_.withdraw_unsent(clock_.now());
     if (state.version <= state_.configuration.offered_version()) {
         state_.key_lease.hold(state.index);
