Weigh the end of a query against the chance of a late answer

A query ended as soon as the parts still out were worth less than a hundredth of its answer, also on a process that sends its answers in time and loses nothing by the wait. And the margin before the objective was measured for each route apart: with 139 VMs a route of 10.5 queries a second gives a VM 20 samples in 265 s, so it never held.

The margin now belongs to the process and counts from five answers on. A query ends if until no later time before its soft deadline the parts that are expected are worth more than the rising chance of a late answer.

--- a/curranthoist/base/latency_window.cpp
+++ b/curranthoist/base/latency_window.cpp
@@ -26,6 +26,17 @@
     return *at;
 }
 
+double latency_window::share_above(base::duration limit) const
+{
+    if (size_ == 0) {
+        return 0;
+    }
+    const auto above = std::count_if(
+        samples_.begin(), samples_.begin() + static_cast<std::ptrdiff_t>(size_),
+        [limit](base::duration one) { return one > limit; });
+    return static_cast<double>(above) / static_cast<double>(size_);
+}
+
 void latency_window::clear()
 {
     size_ = 0;
--- a/curranthoist/base/latency_window.hpp
+++ b/curranthoist/base/latency_window.hpp
@@ -20,6 +20,8 @@
     void add(base::duration sample);
     // The value that `percent` of the samples don't exceed; nothing without samples.
     [[nodiscard]] std::optional<base::duration> quantile(int percent) const;
+    // The share of the samples that exceed the limit; 0 without samples.
+    [[nodiscard]] double share_above(base::duration limit) const;
     [[nodiscard]] std::size_t size() const { return size_; }
     void clear();
 
--- a/curranthoist/forwarding/request_attempts.cpp
+++ b/curranthoist/forwarding/request_attempts.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/forwarding/extra_send_budget.hpp"
 #include "curranthoist/forwarding/part_latencies.hpp"
 #include "curranthoist/forwarding/query_end.hpp"
+#include "curranthoist/forwarding/send_margin.hpp"
 #include "curranthoist/forwarding/target_directory.hpp"
 
 #include <algorithm>
@@ -22,6 +23,8 @@
 constexpr base::duration hedge_retry_delay{20};
 // Time between two decisions on the end of a query that has enough shards.
 constexpr base::duration end_check_interval{4};
+// Times until the soft deadline at which the end of a query is weighed.
+constexpr std::int64_t end_horizons = 4;
 // Maximum share of the shards of a request that are hedged. Faults affect a sixth of the
 // targets; if far more responses are late, this VM is slow itself, and hedges would slow
 // it further.
@@ -34,13 +37,13 @@
 request_attempts::request_attempts(
     const deployment::route& route, std::vector<base::service_id> services,
     request_timing timing, const target_directory& directory, extra_send_budget& budget,
-    std::vector<gather_group> groups, const part_latencies* latencies)
+    std::vector<gather_group> groups, query_history history)
     : route_(route)
     , timing_(timing)
     , directory_(directory)
     , budget_(budget)
     , groups_(std::move(groups))
-    , latencies_(latencies)
+    , history_(history)
 {
     shards_.reserve(services.size());
     for (base::service_id& service : services) {
@@ -333,13 +336,13 @@
     else if (answered_shards_ + open_shards_ < required_shards_ || deadline_passed) {
         finish(failure_outcome(deadline_passed && open_shards_ > 0), actions);
     }
-    else if (latencies_ != nullptr && route_.gathers() &&
-             answered_shards_ >= required_shards_) {
+    else if (may_end_early() && answered_shards_ >= required_shards_) {
         next_end_check_ = now + end_check_interval;
     }
 }
 
-double request_attempts::chance_of(const shard_state& shard, base::instant now) const
+double request_attempts::chance_of(const shard_state& shard, base::instant now,
+                                   base::instant until) const
 {
     double misses = 1;
     for (const attempt_state& attempt : shard.attempts) {
@@ -350,29 +353,39 @@
             // The parts of a gatherer come with its report.
             return 1;
         }
-        misses *=
-            1 - latencies_->chance(now - attempt.sent_at, timing_.soft_deadline - now);
+        misses *= 1 - history_.parts->chance(now - attempt.sent_at, until - now);
     }
     if (may_hedge(shard)) {
-        misses *=
-            1 - latencies_->chance(base::duration(),
-                                   timing_.soft_deadline - std::max(now, shard.hedge_at));
+        misses *= 1 - history_.parts->chance(base::duration(),
+                                             until - std::max(now, shard.hedge_at));
     }
     return 1 - misses;
 }
 
+bool request_attempts::may_end_early() const
+{
+    return history_.parts != nullptr && history_.margin != nullptr && route_.gathers();
+}
+
 bool request_attempts::ends_early(base::instant now) const
 {
-    if (latencies_ == nullptr || !route_.gathers()) {
+    if (!may_end_early()) {
         return false;
     }
-    query_end decision(answered_shards_);
-    for (const shard_state& shard : shards_) {
-        if (shard.is_open()) {
-            decision.add_shard(chance_of(shard, now));
+    const base::instant due = timing_.arrived + route_.objective;
+    const query_end decision(answered_shards_, history_.margin->lateness(due - now));
+    const base::duration rest = timing_.soft_deadline - now;
+    for (std::int64_t step = 1; step <= end_horizons; ++step) {
+        const base::instant until = now + rest * step / end_horizons;
+        double expected = 0;
+        for (const shard_state& shard : shards_) {
+            expected += shard.is_open() ? chance_of(shard, now, until) : 0;
+        }
+        if (decision.is_worth(expected, history_.margin->lateness(due - until))) {
+            return false;
         }
     }
-    return decision.ends_now();
+    return true;
 }
 
 bool request_attempts::may_have_run() const
--- a/curranthoist/forwarding/request_attempts.hpp
+++ b/curranthoist/forwarding/request_attempts.hpp
@@ -14,6 +14,7 @@
 
 class extra_send_budget;
 class part_latencies;
+class send_margin;
 class target_directory;
 
 // Points in time that govern one request.
@@ -35,6 +36,13 @@
     base::duration min_answer_time;
 };
 
+// How long parts and answers took; null if queries end at the soft deadline only.
+struct query_history
+{
+    const part_latencies* parts = nullptr;
+    const send_margin* margin = nullptr;
+};
+
 // Decides how one caller's request proceeds: which target gets it, when it is sent again,
 // and how it ends. The request goes to one service or to every shard of a query. The
 // class performs no I/O; its owner carries out the returned actions in order and reports
@@ -45,16 +53,15 @@
 //     perform(run.on_answer(call, kind, now));
 //     perform(run.on_time(now));              // at run.next_deadline()
 //
-// The route, the directory, the budget and the latencies must outlive the object. With
-// latencies, a query may end before its soft deadline.
+// The route, the directory, the budget and the history must outlive the object. With a
+// history, a query may end before its soft deadline.
 class request_attempts
 {
 public:
     request_attempts(const deployment::route& route,
                      std::vector<base::service_id> services, request_timing timing,
                      const target_directory& directory, extra_send_budget& budget,
-                     std::vector<gather_group> groups = {},
-                     const part_latencies* latencies = nullptr);
+                     std::vector<gather_group> groups = {}, query_history history = {});
 
     std::vector<request_action> start(base::instant now);
     // Records that the call of a send_action was sent. The hedge delay counts from here,
@@ -126,9 +133,12 @@
     void hedge_if_due(std::size_t shard_index, base::instant now,
                       std::vector<request_action>& actions);
     void mark_failed(shard_state& shard);
+    [[nodiscard]] bool may_end_early() const;
     // True if the shards that are still out are not worth the wait.
     [[nodiscard]] bool ends_early(base::instant now) const;
-    [[nodiscard]] double chance_of(const shard_state& shard, base::instant now) const;
+    // The chance that a part of the shard comes until then.
+    [[nodiscard]] double chance_of(const shard_state& shard, base::instant now,
+                                   base::instant until) const;
     void finish_if_decided(base::instant now, std::vector<request_action>& actions);
     void finish(final_outcome outcome, std::vector<request_action>& actions);
     static void cancel_open_attempts(shard_state& shard,
@@ -150,8 +160,7 @@
     const target_directory& directory_;
     extra_send_budget& budget_;
     std::vector<gather_group> groups_;
-    // Null if queries end at the soft deadline only.
-    const part_latencies* latencies_;
+    query_history history_;
     std::vector<shard_state> shards_;
     // Shard index of each call. Calls are numbered from 1.
     std::vector<std::size_t> shard_index_of_call_;
--- a/curranthoist/forwarding/send_margin_test.cpp
+++ b/curranthoist/forwarding/send_margin_test.cpp
@@ -34,5 +34,21 @@
     EXPECT_EQ(send_margin().margin(duration(20)), send_margin::min_margin);
 }
 
+// Guards against a VM that sees few queries and learns its margin only after minutes, and
+// against one answer that sets the margin alone.
+TEST(send_margin_test, a_few_answers_count)
+{
+    send_margin margin;
+    for (int i = 0; i < 4; ++i) {
+        margin.add(duration(9));
+    }
+    EXPECT_EQ(margin.margin(objective), send_margin::min_margin);
+    EXPECT_EQ(margin.lateness(duration(14)), 0);
+    margin.add(duration(9));
+    EXPECT_EQ(margin.margin(objective), duration(20));
+    EXPECT_EQ(margin.lateness(duration(14)), 1);
+    EXPECT_EQ(margin.lateness(duration(20)), 0);
+}
+
 } // namespace
 } // namespace curranthoist::forwarding
--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -88,11 +88,11 @@
 forwarding::request_timing caller_task::times() const
 {
     const base::duration objective = request_.route.objective;
-    route_latency& latency = request_.latency;
+    const route_latency& latency = request_.latency;
     forwarding::request_timing result;
     result.arrived = request_.arrived;
     result.soft_deadline =
-        request_.arrived + objective - latency.margin().margin(objective) -
+        request_.arrived + objective - request_.context.margin.margin(objective) -
         (request_.inbound.connection_was_new ? handshake_margin : base::duration());
     result.hard_deadline = request_.hard_limit;
     result.hedge_delay = latency.hedge_delay(objective);
@@ -110,9 +110,10 @@
         }
     });
     task_context& context = request_.context;
-    request_.run.emplace(request_.route, services_of(request_.route, context.random),
-                         times(), context.directory, context.budget, groups_.plan(),
-                         &request_.latency.parts());
+    request_.run.emplace(
+        request_.route, services_of(request_.route, context.random), times(),
+        context.directory, context.budget, groups_.plan(),
+        forwarding::query_history{&request_.latency.parts(), &context.margin});
     perform(request_.run->start(request_.clock.now()));
 }
 
@@ -266,7 +267,7 @@
     const unsigned code = response.status;
     answer_.respond(std::move(response));
     if (request_.route.gathers()) {
-        request_.latency.margin().add(request_.clock.now() - began + timer_delay_);
+        request_.context.margin.add(request_.clock.now() - began + timer_delay_);
     }
     end(forwarding::outcome_name(outcome), code, action.missing);
 }
--- a/curranthoist/frontd/route_latency.hpp
+++ b/curranthoist/frontd/route_latency.hpp
@@ -3,7 +3,6 @@
 #include "curranthoist/base/duration.hpp"
 #include "curranthoist/base/latency_tracker.hpp"
 #include "curranthoist/forwarding/part_latencies.hpp"
-#include "curranthoist/forwarding/send_margin.hpp"
 
 #include <algorithm>
 
@@ -21,7 +20,6 @@
     // Records a part that had not come when the wait for it ended.
     void add_unfinished(base::duration age) { parts_.add_unfinished(age); }
     [[nodiscard]] const forwarding::part_latencies& parts() const { return parts_; }
-    [[nodiscard]] forwarding::send_margin& margin() { return margin_; }
     // The usual time: the median, which a few slow targets don't move; 0 without history.
     [[nodiscard]] base::duration usual() const { return tracker_.median(); }
     // With less time left, an answer in time is unlikely: the median, within a part of
@@ -51,7 +49,6 @@
 
     base::latency_tracker tracker_;
     forwarding::part_latencies parts_;
-    forwarding::send_margin margin_;
 };
 
 } // namespace curranthoist::frontd
--- a/curranthoist/frontd/task_context.hpp
+++ b/curranthoist/frontd/task_context.hpp
@@ -7,6 +7,7 @@
 #include "curranthoist/forwarding/extra_send_budget.hpp"
 #include "curranthoist/forwarding/open_request_limit.hpp"
 #include "curranthoist/forwarding/return_schedule.hpp"
+#include "curranthoist/forwarding/send_margin.hpp"
 #include "curranthoist/forwarding/target_directory.hpp"
 #include "curranthoist/frontd/route_latency.hpp"
 #include "curranthoist/frontd/target_pool.hpp"
@@ -47,6 +48,8 @@
     std::shared_ptr<const deployment::configuration> configuration = nullptr;
     // When callers come back whose requests have not run.
     forwarding::return_schedule returns = {};
+    // How long before the objective answers to queries leave.
+    forwarding::send_margin margin = {};
     // The requests of callers and of other fronts that are open at once.
     forwarding::open_request_limit open_requests{{}};
 
