Refuse header names that are no tokens

A request with 'Content-Length : 44' was handed over with that header, and the bytes meant as its body were run as a second request. A target that drops the space reads another request than the one that was checked.

libmicrohttpd takes whatever stands before the colon as the name.

caller_server_test.a_header_name_that_is_no_token_is_refused failed before for each of five names: no 400 came ("peer.read().find("HTTP/1.1 400 ")" was npos) and the handler got a request ("requests_.size() Which is: 1").

Names are checked where each request begins; the refusal closes the connection, so that nothing behind it is read as a request.

--- a/curranthoist/http/caller_server.cpp
+++ b/curranthoist/http/caller_server.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/http/internal/connection_load.hpp"
 #include "curranthoist/http/internal/connection_memory.hpp"
 #include "curranthoist/http/internal/exchange.hpp"
+#include "curranthoist/http/internal/header_names.hpp"
 #include "curranthoist/http/internal/http_daemon.hpp"
 #include "curranthoist/http/internal/listening_socket.hpp"
 #include "curranthoist/http/internal/response_body.hpp"
@@ -608,6 +609,13 @@
                               &request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect_argument,
                               &request.arguments);
+    if (!internal::are_tokens(request.headers)) {
+        // What follows may have been meant as the body of this request.
+        caller_response refused =
+            internal::refusal(MHD_HTTP_BAD_REQUEST, "a header's name is malformed");
+        refused.headers.emplace(MHD_HTTP_HEADER_CONNECTION, "close");
+        return queue_response(connection, refused);
+    }
     current->response_head_room = room_for_response_head(connection, request);
     if (header_bytes(connection) > options_.max_header_bytes ||
         current->response_head_room < connection_memory::response_reserve) {
--- a/curranthoist/http/caller_server_test.cpp
+++ b/curranthoist/http/caller_server_test.cpp
@@ -200,6 +200,23 @@
     EXPECT_TRUE(still_serves());
 }
 
+// Guards against requests that are smuggled past a target which drops the space before a
+// colon: it would take the rest of the bytes for a body, or a body for a request.
+TEST_F(caller_server_test, a_header_name_that_is_no_token_is_refused)
+{
+    start();
+    for (const char* const line : {"Content-Length : 44", "Transfer-Encoding\t: chunked",
+                                   "X : 1", "X Y: 1", "X(1): 1"}) {
+        raw_peer peer(server_->local());
+        peer.send(std::string("POST /a HTTP/1.1\r\nHost: h\r\n") + line +
+                  "\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\nX: 12345\r\n\r\n");
+        EXPECT_TRUE(run_until(loop_, [&] { return peer.ended(); })) << line;
+        EXPECT_EQ(peer.read().find("HTTP/1.1 400 "), 0U) << line << peer.read();
+        EXPECT_EQ(requests_.size(), 0U) << line;
+    }
+    EXPECT_TRUE(still_serves());
+}
+
 TEST_F(caller_server_test, a_bad_chunk_costs_one_connection_and_reaches_no_handler)
 {
     start();
