--- a/curranthoist/consensus/host_options.hpp
+++ b/curranthoist/consensus/host_options.hpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/endpoint.hpp"
 #include "curranthoist/base/identifiers.hpp"
+#include "curranthoist/base/zone_traffic.hpp"
 #include "curranthoist/consensus/replica_options.hpp"
 
 #include <cstdint>
@@ -17,6 +18,8 @@
     base::endpoint listen;
     base::zone_id zone;
     base::incarnation incarnation;
+    // Counts what this member sends to others; null for nobody. Must outlive the host.
+    base::zone_traffic* traffic = nullptr;
     // Randomises election timeouts; must differ between members.
     std::uint64_t seed = 0;
     // A log snapshot is taken after this many applied entries.
--- a/curranthoist/consensus/internal/replica_host.hpp
+++ b/curranthoist/consensus/internal/replica_host.hpp
@@ -37,7 +37,9 @@
     , options_(internal::with_default_failure(std::move(options)))
     , replica_(store.take_recovered(), options_.replica, options_.seed, clock_.now())
     , links_(
-          loop, {replica_.self(), options_.zone, options_.incarnation, options_.listen},
+          loop,
+          {replica_.self(), options_.zone, options_.incarnation, options_.listen,
+           options_.traffic},
           [this](const message_body& message) { on_peer_message(message); },
           std::move(on_entry))
     , timer_(loop)
--- a/curranthoist/consensus/peer_links.cpp
+++ b/curranthoist/consensus/peer_links.cpp
@@ -9,9 +9,20 @@
 
 namespace curranthoist::consensus {
 
+namespace {
+
+base::zone_id zone_of(const wire::hello& hello)
+{
+    return base::zone_id(hello.zone() == nullptr ? "" : hello.zone()->str());
+}
+
+} // namespace
+
 struct peer_links::dialed_peer
 {
     member remote;
+    // Empty until its hello.
+    base::zone_id zone;
     // True once the hello at the other end named this member.
     bool confirmed = false;
     // The time of the first message sent since the last one received.
@@ -23,6 +34,7 @@
 {
     // Empty until the hello.
     base::member_id id;
+    base::zone_id zone;
     std::unique_ptr<peer_session> session;
 };
 
@@ -96,6 +108,7 @@
     peer.unanswered_since.reset();
     if (const wire::hello* hello = message.body_as_hello()) {
         const std::string id = hello->id() == nullptr ? "" : hello->id()->str();
+        peer.zone = zone_of(*hello);
         peer.confirmed = hello->protocol() == wire::protocol_version &&
                          hello->sender() == wire::role::control &&
                          id == peer.remote.id.str();
@@ -165,6 +178,7 @@
     // A new connection of the same member replaces one that has gone silent.
     std::erase_if(accepted_, [&](const auto& other) { return other->id == id; });
     peer.id = id;
+    peer.zone = zone_of(hello);
 }
 
 void peer_links::drop_accepted(const accepted_peer* peer)
@@ -179,7 +193,9 @@
             std::find_if(accepted_.begin(), accepted_.end(),
                          [&](const auto& one) { return one->id == message.to; });
         if (found != accepted_.end()) {
-            (*found)->session->send_frame(to_frame(message.body));
+            auto frame = to_frame(message.body);
+            count_sent((*found)->zone, frame.size());
+            (*found)->session->send_frame(std::move(frame));
         }
         return;
     }
@@ -196,7 +212,19 @@
     if (!peer.unanswered_since) {
         peer.unanswered_since = clock_.now();
     }
-    peer.dialer->send_frame(to_frame(message.body));
+    auto frame = to_frame(message.body);
+    count_sent(peer.zone, frame.size());
+    peer.dialer->send_frame(std::move(frame));
+}
+
+void peer_links::count_sent(const base::zone_id& zone, std::size_t bytes)
+{
+    if (options_.traffic != nullptr && !zone.empty()) {
+        base::traffic_count& count =
+            options_.traffic->with(base::traffic_cause::log, zone);
+        count.sent_bytes += bytes;
+        ++count.messages;
+    }
 }
 
 void peer_links::reconnect_if_silent(dialed_peer& peer)
--- a/curranthoist/consensus/peer_links.hpp
+++ b/curranthoist/consensus/peer_links.hpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/base/zone_traffic.hpp"
 #include "curranthoist/consensus/member.hpp"
 #include "curranthoist/consensus/messages.hpp"
 #include "curranthoist/consensus/peer_session.hpp"
@@ -29,6 +30,9 @@
         base::zone_id zone;
         base::incarnation incarnation;
         base::endpoint listen;
+        // Counts what this member sends to others; null for nobody. Must outlive the
+        // links.
+        base::zone_traffic* traffic = nullptr;
     };
     using message_handler = std::function<void(const message_body&)>;
     // Receives the session of an entry VM and its hello, which is valid during the call.
@@ -68,6 +72,8 @@
     void drop_accepted(const accepted_peer* peer);
     void on_dialed_message(dialed_peer& peer, const wire::envelope& message);
     void dial(const member& peer);
+    // Counts a frame to a member of this zone; nothing before its hello named it.
+    void count_sent(const base::zone_id& zone, std::size_t bytes);
     void reconnect_if_silent(dialed_peer& peer);
     [[nodiscard]] wire::hello_message own_hello() const;
 
--- a/curranthoist/consensus/peer_session.hpp
+++ b/curranthoist/consensus/peer_session.hpp
@@ -38,6 +38,14 @@
     {
         connection_.send_frame(std::move(frame));
     }
+    // Adds what is read and written from now on to `count`, which must outlive the
+    // session.
+    void count_traffic(base::traffic_count* count) { connection_.count_traffic(count); }
+    // Bytes received since the connection was opened.
+    [[nodiscard]] std::uint64_t bytes_received() const
+    {
+        return connection_.bytes_received();
+    }
     [[nodiscard]] bool is_open() const { return connection_.is_open(); }
     [[nodiscard]] std::size_t queued_bytes() const { return connection_.queued_bytes(); }
 
--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -146,8 +146,15 @@
 
 base::duration core_links::report_interval_for(const link& peer) const
 {
-    return leader_responds() && peer.address != leader_ ? follower_report_interval
-                                                        : report_interval;
+    if (!leader_responds()) {
+        return report_interval;
+    }
+    if (peer.address != leader_) {
+        return follower_report_interval;
+    }
+    return callbacks_.may_report_rarely && callbacks_.may_report_rarely()
+               ? rare_report_interval
+               : report_interval;
 }
 
 void core_links::send_report(link& peer)
@@ -161,6 +168,7 @@
     report.observes = observes_;
     report.hears_leader = leader_responds();
     report.suspects_number = suspects_number_;
+    report.takes_suspect_changes = true;
     report.gatherers_number = gatherers_number_;
     report.stopping = stopping_;
     report.members_number = members_number_;
@@ -192,10 +200,34 @@
             report.answers_by_version.push_back(std::move(entry));
         }
     }
+    report.zone_cost_ms = static_cast<std::uint32_t>(callbacks_.zone_cost.count());
+    if (callbacks_.answers_by_zone && leader_responds() && peer.address == leader_) {
+        add_zone_answers(report);
+    }
     peer.sent_reports[report.sequence] = peer.last_report;
     peer.dialer->send(std::move(report));
 }
 
+void core_links::add_zone_answers(wire::front_report_message& report)
+{
+    if (zones_reported_to_ != leader_) {
+        zones_reported_to_ = leader_;
+        reported_zones_.clear();
+    }
+    for (const deployment::zone_answers& one : callbacks_.answers_by_zone()) {
+        const auto [last, is_new] = reported_zones_.try_emplace(one.zone, one);
+        if (!is_new && last->second == one) {
+            continue;
+        }
+        last->second = one;
+        auto entry = std::make_unique<wire::zone_answers_message>();
+        entry->zone = one.zone.str();
+        entry->successes = one.successes;
+        entry->time_ms = one.time_ms;
+        report.answers_by_zone.push_back(std::move(entry));
+    }
+}
+
 void core_links::on_message(link& peer, const wire::envelope& message)
 {
     if (const auto* report = message.body_as_core_report()) {
@@ -275,6 +307,7 @@
     }
     on_suspects(report);
     on_gatherers(report);
+    on_zone_share(report);
     on_team_answer(report, asked_at);
     // Without that time the shares may be old: a process that was frozen reads what came
     // meanwhile.
@@ -283,6 +316,22 @@
     }
 }
 
+void core_links::on_zone_share(const wire::core_report& report)
+{
+    if (!callbacks_.on_zone_share) {
+        return;
+    }
+    const wire::zone_share* named = report.given_share();
+    if (named == nullptr || named->from() == nullptr || named->to() == nullptr) {
+        callbacks_.on_zone_share(std::nullopt);
+        return;
+    }
+    constexpr double permille = 1000.0;
+    callbacks_.on_zone_share(deployment::zone_share{
+        base::zone_id(named->from()->str()), base::zone_id(named->to()->str()),
+        static_cast<double>(named->permille()) / permille});
+}
+
 void core_links::on_rollout_shares(const wire::core_report& report,
                                    base::instant asked_at)
 {
@@ -358,15 +407,26 @@
     if (report.suspects_number() == suspects_number_) {
         return;
     }
+    if (report.suspects_base() == 0) {
+        suspects_.clear();
+    }
+    else if (report.suspects_base() != suspects_number_) {
+        // An answer to an earlier report. The next report names what this process holds.
+        return;
+    }
     suspects_number_ = report.suspects_number();
-    std::set<base::target_id> suspects;
+    if (report.suspects_removed() != nullptr) {
+        for (const auto* id : *report.suspects_removed()) {
+            suspects_.erase(base::target_id(id->str()));
+        }
+    }
     if (report.suspects() != nullptr) {
         for (const auto* id : *report.suspects()) {
-            suspects.emplace(id->str());
+            suspects_.emplace(id->str());
         }
     }
     if (callbacks_.on_suspects) {
-        callbacks_.on_suspects(std::move(suspects));
+        callbacks_.on_suspects(suspects_);
     }
 }
 
@@ -374,6 +434,7 @@
 {
     if (suspects_number_ != 0 && !leader_responds()) {
         suspects_number_ = 0;
+        suspects_.clear();
         if (callbacks_.on_suspects) {
             callbacks_.on_suspects({});
         }
--- a/curranthoist/coreclient/core_links.hpp
+++ b/curranthoist/coreclient/core_links.hpp
@@ -11,6 +11,8 @@
 #include "curranthoist/deployment/target_sample.hpp"
 #include "curranthoist/deployment/team_use.hpp"
 #include "curranthoist/deployment/version_answers.hpp"
+#include "curranthoist/deployment/zone_answers.hpp"
+#include "curranthoist/deployment/zone_share.hpp"
 #include "curranthoist/wire/peer_dialer.hpp"
 
 #include <ev++.h>
@@ -77,9 +79,22 @@
             on_rollout_shares;
         // Returns the answers by version to report to the leader.
         std::function<std::vector<deployment::version_answers>()> answers_by_version;
+        // Returns what was seen of the targets of each zone, to report to the leader.
+        std::function<std::vector<deployment::zone_answers>()> answers_by_zone;
+        // Called with each answer of the leader, with the share of its queries that this
+        // zone gives away; nothing if it keeps all.
+        std::function<void(std::optional<deployment::zone_share>)> on_zone_share;
+        // Returns true if reports in rare_report_interval are enough. Without it they are
+        // not.
+        std::function<bool()> may_report_rarely;
+        // The wait that a request between zones is worth, reported to the leader.
+        base::duration zone_cost{};
     };
 
     static constexpr base::duration report_interval{400};
+    // Interval of the reports to the leader of a process on whose reports little depends.
+    // Several reports fit into leader_limit and into what the leader waits for.
+    static constexpr base::duration rare_report_interval{600};
     // Interval of the reports to members other than the leader while the leader responds.
     // The leader sends new data at once, so the other members need fewer reports.
     static constexpr base::duration follower_report_interval{3600};
@@ -137,6 +152,8 @@
     // `asked_at` is when the report was sent that this answers, if that is known.
     void on_team_answer(const wire::core_report& report,
                         std::optional<base::instant> asked_at);
+    void add_zone_answers(wire::front_report_message& report);
+    void on_zone_share(const wire::core_report& report);
     // `asked_at` is when the report was sent that this answers.
     void on_rollout_shares(const wire::core_report& report, base::instant asked_at);
     void on_gatherers(const wire::core_report& report);
@@ -169,12 +186,16 @@
     std::map<base::endpoint, std::unique_ptr<link>> links_;
     ev::timer tick_;
     std::uint64_t sequence_ = 0;
-    // The number of the leader's last set of suspects; 0 if there is none.
+    // The leader's last set of suspects and its number; 0 if there is none.
+    std::set<base::target_id> suspects_;
     std::uint64_t suspects_number_ = 0;
     // The number of the last choice of gatherers; 0 if there is none.
     std::uint64_t gatherers_number_ = 0;
     std::string gather_address_;
     bool stopping_ = false;
+    // What was reported of each zone to the leader at that address.
+    std::map<base::zone_id, deployment::zone_answers> reported_zones_;
+    base::endpoint zones_reported_to_;
     std::uint64_t state_index_ = 0;
     std::uint64_t listing_term_ = 0;
     std::uint64_t listing_sequence_ = 0;
--- a/curranthoist/coreclient/core_links_test.cpp
+++ b/curranthoist/coreclient/core_links_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <optional>
 
 namespace curranthoist::coreclient {
@@ -46,7 +47,12 @@
     bool answers = true;
     std::uint64_t suspects_number = 0;
     int suspects_sent = 0;
+    // If not 0, answers name a change of the suspects of that number.
+    std::uint64_t suspects_base = 0;
     std::uint64_t gatherers_number = 0;
+    // How often reports named each zone, and whether answers name a share.
+    std::map<std::string, int> zones_reported;
+    bool names_share = false;
 
 private:
     void on_accept(int descriptor)
@@ -65,13 +71,22 @@
             return;
         }
         ++reports;
+        if (report->answers_by_zone() != nullptr) {
+            for (const auto* one : *report->answers_by_zone()) {
+                ++zones_reported[one->zone()->str()];
+            }
+        }
         wire::core_report_message reply;
         reply.sequence = report->sequence();
         reply.leader = leads_;
         reply.fronts = 3;
         reply.suspects_number = suspects_number;
         if (report->suspects_number() != suspects_number) {
-            reply.suspects = {"slow"};
+            reply.suspects = {suspects_base == 0 ? "slow" : "late"};
+            reply.suspects_base = suspects_base;
+            if (suspects_base != 0) {
+                reply.suspects_removed = {"slow"};
+            }
             ++suspects_sent;
         }
         reply.gatherers_number = gatherers_number;
@@ -85,7 +100,13 @@
         for (const base::endpoint& member : members_) {
             reply.members.push_back(member.str());
         }
-        peers_[peer]->send(reply);
+        if (names_share) {
+            reply.given_share = std::make_unique<wire::zone_share_message>();
+            reply.given_share->from = "z";
+            reply.given_share->to = "y";
+            reply.given_share->permille = 250;
+        }
+        peers_[peer]->send(std::move(reply));
     }
 
 public:
@@ -118,6 +139,10 @@
         callbacks.on_gatherers = [this](std::vector<deployment::gatherer> gatherers) {
             gatherers_.push_back(std::move(gatherers));
         };
+        callbacks.answers_by_zone = [this] { return seen_; };
+        callbacks.on_zone_share = [this](std::optional<deployment::zone_share> share) {
+            share_ = std::move(share);
+        };
         callbacks.on_front_count = [this](std::size_t count) { fronts_ = count; };
         links_.emplace(loop_, base::vm_id("vm"), base::zone_id("z"), seeds, callbacks);
     }
@@ -149,6 +174,8 @@
     std::vector<std::size_t> listings_;
     std::set<base::target_id> suspects_;
     std::vector<std::vector<deployment::gatherer>> gatherers_;
+    std::vector<deployment::zone_answers> seen_;
+    std::optional<deployment::zone_share> share_;
     std::size_t fronts_ = 0;
 };
 
@@ -229,6 +256,26 @@
     EXPECT_EQ(listings_, std::vector<std::size_t>{300});
 }
 
+// Guards against a suspect that stays after the leader has taken it back, and against a
+// change that is applied to other suspects than those it belongs to.
+TEST_F(core_links_test, a_change_of_the_suspects_is_applied_to_those_it_names)
+{
+    const base::endpoint first = free_endpoint();
+    fake_core leader(loop_, first, true, {first});
+    leader.suspects_number = 7;
+    connect({first});
+    ASSERT_TRUE(run_until(loop_, [&] { return !suspects_.empty(); }));
+    leader.suspects_base = 6;
+    leader.suspects_number = 8;
+    const int reports = leader.reports;
+    ASSERT_TRUE(run_until(loop_, [&] { return leader.reports >= reports + 2; }));
+    EXPECT_EQ(suspects_, std::set<base::target_id>{base::target_id("slow")});
+    leader.suspects_base = 7;
+    ASSERT_TRUE(run_until(loop_, [&] {
+        return suspects_ == std::set<base::target_id>{base::target_id("late")};
+    }));
+}
+
 // Guards against suspects that the leader sends again with each report although the set
 // has not changed, and against suspects that remain after their leader has stopped
 // responding.
@@ -264,6 +311,25 @@
     EXPECT_EQ(gatherers_.size(), 1U);
 }
 
+// Guards against reports that repeat what the leader knows, which cross zones too, and
+// against a share that goes on after the leader has ended it.
+TEST_F(core_links_test, what_was_seen_of_zones_is_reported_once_and_a_share_passed_on)
+{
+    const base::endpoint first = free_endpoint();
+    fake_core leader(loop_, first, true, {first});
+    leader.names_share = true;
+    seen_ = {{base::zone_id("z"), 5, 50}, {base::zone_id("y"), 1, 10}};
+    connect({first});
+    ASSERT_TRUE(run_until(loop_, [&] { return leader.zones_reported["z"] == 1; }));
+    EXPECT_EQ(share_,
+              (deployment::zone_share{base::zone_id("z"), base::zone_id("y"), 0.25}));
+    seen_[0].successes = 6;
+    leader.names_share = false;
+    ASSERT_TRUE(run_until(loop_, [&] { return leader.zones_reported["z"] == 2; }));
+    EXPECT_EQ(leader.zones_reported["y"], 1);
+    EXPECT_TRUE(run_until(loop_, [&] { return !share_; }));
+}
+
 // Guards against a connection that stays in use although the member at its other end no
 // longer responds.
 TEST_F(core_links_test, a_member_that_stops_answering_gets_a_new_connection)
--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -92,6 +92,7 @@
     , founder_(std::move(founder))
     , disk_(created(settings_.data_folder))
     , store_(prepare(disk_, settings_, founder_))
+    , traffic_(settings_.zone)
     , sessions_(state_, settings_.link_bytes_per_s, [this] { return view(); },
                 settings_.gather_from_fronts, settings_.team_limit_slack,
                 {settings_.exposure_share, settings_.exposure_slack})
@@ -108,6 +109,7 @@
     , tick_(loop_)
     , stop_timer_(loop_)
 {
+    sessions_.count_traffic(traffic_);
     state_.set_change_handler([this] {
         log_.info(
             "event=state_changed index=" + std::to_string(state_.changed_at().value()) +
@@ -145,7 +147,7 @@
     return {settings_.address, settings_.first_internal_port};
 }
 
-consensus::host_options core_process::host_options() const
+consensus::host_options core_process::host_options()
 {
     consensus::host_options options;
     // On the address where operators are served; others may reach it at another one.
@@ -153,6 +155,7 @@
     options.zone = settings_.zone;
     options.incarnation =
         base::incarnation(static_cast<std::uint64_t>(base::wall_clock().now().count()));
+    options.traffic = &traffic_;
     options.seed = std::random_device()();
     options.entries_per_snapshot = entries_per_snapshot;
     options.replica.retained_entries = retained_entries;
@@ -369,6 +372,7 @@
         static_cast<std::int64_t>(sessions_.waiting()));
     set("curranthoist_list_age_ms", "Since the last reading of the list by this process",
         sessions_.listing_age().count());
+    traffic_.publish(requests_.metrics());
     return requests_.metrics().prometheus_text();
 }
 
--- a/curranthoist/cored/core_process.hpp
+++ b/curranthoist/cored/core_process.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "curranthoist/base/zone_traffic.hpp"
 #include "curranthoist/consensus/replica_host.hpp"
 #include "curranthoist/cored/front_sessions.hpp"
 #include "curranthoist/cored/join_client.hpp"
@@ -56,7 +57,7 @@
     static storage::posix_disk& prepare(storage::posix_disk& disk,
                                         const platform::node_settings& settings,
                                         const base::endpoint& founder);
-    [[nodiscard]] consensus::host_options host_options() const;
+    [[nodiscard]] consensus::host_options host_options();
     [[nodiscard]] base::endpoint own_peers() const;
     [[nodiscard]] front_sessions::core_view view() const;
 
@@ -83,6 +84,7 @@
     storage::posix_disk disk_;
     storage::log_store<storage::posix_disk> store_;
     deployment::deployment_state state_;
+    base::zone_traffic traffic_;
     front_sessions sessions_;
     host_type host_;
     membership_keeper keeper_;
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/wire/packed_text.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <random>
 #include <set>
@@ -29,6 +30,11 @@
 // A shorter message gains little from being packed.
 constexpr std::size_t min_packed_bytes = 512;
 
+std::uint32_t permille_of(double share)
+{
+    return static_cast<std::uint32_t>(std::lround(share * permille));
+}
+
 std::vector<deployment::target_sample> samples_of(const wire::front_report& report)
 {
     std::vector<deployment::target_sample> samples;
@@ -55,7 +61,7 @@
     , gather_from_fronts_(gather_from_fronts)
     , gatherers_(gather_from_fronts, std::random_device()(), clock_.now())
     , judges_(rollouts)
-    , suspects_number_(std::random_device()())
+    , suspect_names_(std::random_device()())
     , accounts_(team_limit_slack)
 {}
 
@@ -77,25 +83,46 @@
     front_session& added = sessions_[number];
     added.session = std::move(session);
     added.name = hello.id()->str();
+    added.zone = base::zone_id(hello.zone() == nullptr ? "" : hello.zone()->str());
     added.since = clock_.now();
     added.last_report = added.since;
     const auto address = base::endpoint::parse(
         hello.gather_address() == nullptr ? "" : hello.gather_address()->str());
     if (address) {
-        added.gatherer = {
-            base::vm_id(added.name),
-            base::zone_id(hello.zone() == nullptr ? "" : hello.zone()->str()), *address};
+        added.gatherer = {base::vm_id(added.name), added.zone, *address};
     }
     fronts_changed_ = true;
     log_.info("event=session_opened vm=" + added.name);
 }
 
+void front_sessions::send_frame(front_session& to, base::traffic_cause cause,
+                                std::vector<std::uint8_t> frame)
+{
+    if (traffic_ != nullptr && !to.zone.empty()) {
+        base::traffic_count& count = traffic_->with(cause, to.zone);
+        count.sent_bytes += frame.size();
+        ++count.messages;
+    }
+    to.session->send_frame(std::move(frame));
+}
+
+void front_sessions::count_received(front_session& from)
+{
+    const std::uint64_t received = from.session->bytes_received();
+    if (traffic_ != nullptr && !from.zone.empty()) {
+        traffic_->with(base::traffic_cause::reports, from.zone).received_bytes +=
+            received - from.counted_bytes;
+    }
+    from.counted_bytes = received;
+}
+
 void front_sessions::on_message(std::uint64_t number, const wire::envelope& message)
 {
     const auto found = sessions_.find(number);
     if (found == sessions_.end()) {
         return;
     }
+    count_received(found->second);
     if (const wire::front_report* report = message.body_as_front_report()) {
         on_report(found->second, *report);
         return;
@@ -146,13 +173,14 @@
         add_gatherers(answer, report, now);
         add_team_shares(answer, report, now);
         add_rollout_shares(answer, from, report, now);
+        add_zone_share(answer, from, report, now);
         if (confirmed_) {
             answer.confirmed_index = confirmed_->index.value();
             answer.confirmed_age_ms =
                 static_cast<std::uint64_t>((now - confirmed_->at).count());
         }
     }
-    from.session->send(std::move(answer));
+    send_frame(from, base::traffic_cause::reports, wire::encode_frame(std::move(answer)));
 }
 
 void front_sessions::follow_term(std::uint64_t term, base::instant now)
@@ -161,6 +189,7 @@
         led_term_ = term;
         gatherers_ = gatherer_choice(gather_from_fronts_, std::random_device()(), now);
         judges_.clear();
+        zones_.clear();
     }
 }
 
@@ -267,6 +296,45 @@
     }
 }
 
+void front_sessions::add_zone_share(wire::core_report_message& answer,
+                                    const front_session& from,
+                                    const wire::front_report& report, base::instant now)
+{
+    if (from.observes || from.zone.empty()) {
+        return;
+    }
+    std::vector<deployment::zone_answers> answers;
+    if (report.answers_by_zone() != nullptr) {
+        for (const wire::zone_answers* one : *report.answers_by_zone()) {
+            if (one->zone() != nullptr) {
+                answers.push_back({base::zone_id(one->zone()->str()), one->successes(),
+                                   one->time_ms()});
+            }
+        }
+    }
+    zones_.add(from.name, from.zone, base::duration(report.zone_cost_ms()), answers, now);
+    if (now - zones_at_ >= zones_interval) {
+        zones_at_ = now;
+        for (const zone_loads::change& one : zones_.update(now)) {
+            log_.info(
+                "event=zone_share_changed zone=" + one.share.from.str() +
+                " to=" + one.share.to.str() +
+                " permille=" + std::to_string(permille_of(one.share.share)) +
+                " before_permille=" + std::to_string(permille_of(one.before)) +
+                " wait_ms=" + std::to_string(std::lround(one.wait_ms)) +
+                " other_wait_ms=" + std::to_string(std::lround(one.other_wait_ms)) +
+                " other_usual_ms=" + std::to_string(std::lround(one.other_usual_ms)) +
+                " cost_ms=" + std::to_string(std::lround(one.cost_ms)));
+        }
+    }
+    if (const auto share = zones_.share_of(from.zone)) {
+        answer.given_share = std::make_unique<wire::zone_share_message>();
+        answer.given_share->from = share->from.str();
+        answer.given_share->to = share->to.str();
+        answer.given_share->permille = permille_of(share->share);
+    }
+}
+
 void front_sessions::add_suspects(wire::core_report_message& answer,
                                   const wire::front_report& report, base::instant now)
 {
@@ -276,15 +344,20 @@
         for (const base::target_id& id : suspects_.at(now)) {
             names.push_back(id.str());
         }
-        if (names != suspect_names_) {
-            suspect_names_ = std::move(names);
-            ++suspects_number_;
-        }
+        suspect_names_.set(std::move(names));
     }
-    answer.suspects_number = suspects_number_;
-    if (report.suspects_number() != suspects_number_) {
-        answer.suspects = suspect_names_;
+    answer.suspects_number = suspect_names_.number();
+    if (report.suspects_number() == suspect_names_.number()) {
+        return;
+    }
+    if (!report.takes_suspect_changes()) {
+        answer.suspects = suspect_names_.names();
+        return;
     }
+    suspect_names::change change = suspect_names_.since(report.suspects_number());
+    answer.suspects_base = change.is_whole ? 0 : report.suspects_number();
+    answer.suspects = std::move(change.added);
+    answer.suspects_removed = std::move(change.removed);
 }
 
 void front_sessions::add_gatherers(wire::core_report_message& answer,
@@ -389,7 +462,7 @@
         state_frame_of_ = newest;
     }
     if (allowance_.take(state_frame_.size(), now)) {
-        to.session->send_frame(state_frame_);
+        send_frame(to, base::traffic_cause::states, state_frame_);
         to.state_sent = newest;
         to.wants_state = false;
     }
@@ -452,7 +525,7 @@
     wire::packed_envelope_message message;
     message.data = listing_->packed;
     message.age_ms = static_cast<std::uint64_t>((now - listing_->packed_at).count());
-    to.session->send(std::move(message));
+    send_frame(to, base::traffic_cause::lists, wire::encode_frame(std::move(message)));
     to.listing_sent = listing_->number;
     to.listing_sent_at = now;
     to.wants_listing = false;
@@ -494,7 +567,7 @@
     for (auto& [number, one] : sessions_) {
         const bool has_base = !change.complete && one.listing_sent == before;
         if (!one.observes && has_base && allowance_.take(frame.size(), now)) {
-            one.session->send_frame(frame);
+            send_frame(one, base::traffic_cause::lists, frame);
             one.listing_sent = listing_->number;
             one.listing_sent_at = now;
         }
@@ -560,7 +633,7 @@
     const auto frame = wire::encode_frame(check);
     for (auto& [number, one] : sessions_) {
         if (!one.observes) {
-            one.session->send_frame(frame);
+            send_frame(one, base::traffic_cause::lists, frame);
         }
     }
 }
--- a/curranthoist/cored/front_sessions.hpp
+++ b/curranthoist/cored/front_sessions.hpp
@@ -3,12 +3,15 @@
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/base/wall_clock.hpp"
+#include "curranthoist/base/zone_traffic.hpp"
 #include "curranthoist/consensus/peer_session.hpp"
 #include "curranthoist/cored/gatherer_choice.hpp"
 #include "curranthoist/cored/rollout_judges.hpp"
 #include "curranthoist/cored/send_allowance.hpp"
+#include "curranthoist/cored/suspect_names.hpp"
 #include "curranthoist/cored/suspect_targets.hpp"
 #include "curranthoist/cored/team_accounts.hpp"
+#include "curranthoist/cored/zone_loads.hpp"
 #include "curranthoist/deployment/deployment_state.hpp"
 #include "curranthoist/deployment/listing_change.hpp"
 
@@ -69,6 +72,8 @@
     static constexpr base::duration suspects_interval{200};
     // The gatherers are chosen anew at most once in this time.
     static constexpr base::duration gatherers_interval{200};
+    // The shares of zones are computed anew at most once in this time.
+    static constexpr base::duration zones_interval{200};
     // The shares of teams are computed anew at most once in this time.
     static constexpr base::duration shares_interval{100};
     // A leader that no quorum has confirmed for this time names no shares of roll-outs:
@@ -84,6 +89,9 @@
 
     void on_session(std::unique_ptr<consensus::peer_session> session,
                     const wire::hello& hello);
+    // Adds what is exchanged over later sessions to `traffic`, which must outlive this
+    // object.
+    void count_traffic(base::zone_traffic& traffic) { traffic_ = &traffic; }
     // The replicated state has changed.
     void on_state_change();
     // A reading of the platform's list by this process, which leads in `term`.
@@ -135,6 +143,9 @@
     {
         std::unique_ptr<consensus::peer_session> session;
         std::string name;
+        base::zone_id zone;
+        // Of the bytes that the session received, those that are counted.
+        std::uint64_t counted_bytes = 0;
         // Nothing if the front takes no gather requests.
         std::optional<deployment::gatherer> gatherer;
         base::instant since;
@@ -169,6 +180,10 @@
         base::instant packed_at;
     };
 
+    // Sends a frame over a session and counts it.
+    void send_frame(front_session& to, base::traffic_cause cause,
+                    std::vector<std::uint8_t> frame);
+    void count_received(front_session& from);
     void on_message(std::uint64_t number, const wire::envelope& message);
     void on_report(front_session& from, const wire::front_report& report);
     // Takes over what a front admitted of each team, and tells it what fits.
@@ -177,6 +192,9 @@
     // Takes over a front's answers by version, and names the shares of roll-outs.
     void add_rollout_shares(wire::core_report_message& answer, const front_session& from,
                             const wire::front_report& report, base::instant now);
+    // Takes over what a front has seen of each zone, and names what its zone gives away.
+    void add_zone_share(wire::core_report_message& answer, const front_session& from,
+                        const wire::front_report& report, base::instant now);
     // Forgets what an earlier term of this process as the leader left behind.
     void follow_term(std::uint64_t term, base::instant now);
     // Names the targets that do badly in an answer to a report that lacks them.
@@ -206,6 +224,8 @@
     [[nodiscard]] std::size_t live_fronts();
 
     const deployment::deployment_state& state_;
+    // Null while nobody counts.
+    base::zone_traffic* traffic_ = nullptr;
     view_source view_;
     base::monotonic_clock clock_;
     base::logger log_{"sessions"};
@@ -229,12 +249,13 @@
     // Of `led_term_`, the term in which this process led last.
     gatherer_choice gatherers_;
     rollout_judges judges_;
+    zone_loads zones_;
+    base::instant zones_at_;
     std::uint64_t led_term_ = 0;
     base::instant gatherers_at_;
     suspect_targets suspects_;
-    std::vector<std::string> suspect_names_;
     // Starts at a random number, so that it is not that of an earlier leader.
-    std::uint64_t suspects_number_;
+    suspect_names suspect_names_;
     base::instant suspects_at_;
     team_accounts accounts_;
     std::vector<deployment::team_share> shares_;
--- a/curranthoist/cored/front_sessions_test.cpp
+++ b/curranthoist/cored/front_sessions_test.cpp
@@ -33,6 +33,14 @@
         message.state_index = held_state;
         message.gatherers_number = gatherers_number;
         message.stopping = stopping;
+        message.zone_cost_ms = zone_cost_ms;
+        for (const auto& [zone, seen] : zones) {
+            auto entry = std::make_unique<wire::zone_answers_message>();
+            entry->zone = zone;
+            entry->successes = seen.first;
+            entry->time_ms = seen.second;
+            message.answers_by_zone.push_back(std::move(entry));
+        }
         connection_.send(message);
     }
 
@@ -45,6 +53,11 @@
     // Of roll-outs, in the last answer.
     std::map<std::string, unsigned> shares;
     std::uint64_t gatherers_number = 0;
+    // What its next reports name.
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> zones;
+    unsigned zone_cost_ms = 0;
+    // Of the last answer, in thousandths; empty if its zone keeps all.
+    std::map<std::string, unsigned> given;
     // Of lists and changes of them, as they came.
     std::vector<std::size_t> packed_bytes;
     bool stopping = false;
@@ -59,6 +72,11 @@
             answers = answer->sequence();
             fronts = answer->fronts();
             shares.clear();
+            given.clear();
+            if (answer->given_share() != nullptr) {
+                given[answer->given_share()->to()->str()] =
+                    answer->given_share()->permille();
+            }
             if (answer->rollout_shares() != nullptr) {
                 for (const auto* one : *answer->rollout_shares()) {
                     shares[one->service()->str()] = one->share_per_10000();
@@ -87,13 +105,13 @@
 {
 protected:
     // The core's end of a new session; the other end is returned.
-    int open_session(const std::string& name)
+    int open_session(const std::string& name, const std::string& zone = "z")
     {
         int ends[2] = {-1, -1};
         EXPECT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
         wire::hello_message hello;
         hello.id = name;
-        hello.zone = "z";
+        hello.zone = zone;
         hello.gather_address = "10.0.0.7:7381";
         const auto frame = wire::encode_frame(hello);
         // Aligned, as the verifier needs it.
@@ -373,6 +391,37 @@
     }));
 }
 
+// Guards against a zone whose fronts never learn that its targets are too slow, and
+// against a share that reaches the fronts of another zone.
+TEST_F(front_sessions_test, the_leader_tells_a_slow_zone_how_much_to_give_away)
+{
+    base::zone_traffic traffic(base::zone_id("slow"));
+    sessions_.count_traffic(traffic);
+    fake_front slow(loop_, open_session("vm1", "slow"));
+    fake_front fast(loop_, open_session("vm2", "fast"));
+    slow.zone_cost_ms = 40;
+    fast.zone_cost_ms = 40;
+    EXPECT_TRUE(run_until(loop_, [&] {
+        auto& [slow_successes, slow_ms] = slow.zones["slow"];
+        slow_successes += 20;
+        slow_ms += 20 * 200;
+        auto& [fast_successes, fast_ms] = fast.zones["fast"];
+        fast_successes += 20;
+        fast_ms += 20 * 28;
+        slow.report();
+        fast.report();
+        run_until(
+            loop_, [] { return false; }, 0.05);
+        EXPECT_TRUE(fast.given.empty());
+        return slow.given.contains("fast");
+    }));
+    EXPECT_LT(slow.given["fast"], 200U);
+    const auto& counted =
+        traffic.with(base::traffic_cause::reports, base::zone_id("fast"));
+    EXPECT_GT(counted.sent_bytes, 0U);
+    EXPECT_GT(counted.received_bytes, 0U);
+}
+
 // Guards against a link that is full of changes of the list: an index that is cut anew
 // changes hundreds of targets for hundreds of fronts.
 TEST_F(front_sessions_test, a_long_change_of_the_list_is_packed)
--- a/curranthoist/forwarding/gather_plan.cpp
+++ b/curranthoist/forwarding/gather_plan.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace curranthoist::forwarding {
@@ -45,7 +46,8 @@
 std::vector<gather_group> plan_gather(std::span<const base::service_id> shards,
                                       std::span<const deployment::gatherer> available,
                                       const target_directory& directory,
-                                      std::string_view own_name, base::instant now)
+                                      std::string_view own_name, base::instant now,
+                                      const base::zone_id* away)
 {
     if (shards.size() < min_shards_to_gather || available.empty()) {
         return {};
@@ -54,10 +56,11 @@
     std::map<base::zone_id, std::vector<std::size_t>> by_zone;
     for (std::size_t i = 0; i < shards.size(); ++i) {
         const base::zone_id* best = nullptr;
-        std::pair<bool, std::size_t> best_rank;
+        std::tuple<bool, bool, std::size_t> best_rank;
         for (const base::zone_id* zone : directory.preferred_zones(shards[i], now)) {
-            const std::pair rank(*zone != directory.own_zone(),
-                                 hash_of(shards[i].str(), zone->str()));
+            const std::tuple rank(away == nullptr || *zone != *away,
+                                  *zone != directory.own_zone(),
+                                  hash_of(shards[i].str(), zone->str()));
             if (gatherers.contains(*zone) && (best == nullptr || rank < best_rank)) {
                 best = zone;
                 best_rank = rank;
--- a/curranthoist/forwarding/gather_plan.hpp
+++ b/curranthoist/forwarding/gather_plan.hpp
@@ -37,12 +37,15 @@
 // Each shard goes to the VM's own zone if that has a usable target of it which does well,
 // so that its parts don't cross zones, and otherwise to another zone, the same one on
 // every VM, so that the gatherers of a zone keep connections to the same targets in use.
-// Within a zone each VM has an order of its own among the gatherers and takes the first.
-// Shards without such a zone are in no group; this VM sends them itself.
+// A query that its zone gives away goes to the zone `away`, as far as that has such
+// targets and gatherers; null for a query that stays. Within a zone each VM has an order
+// of its own among the gatherers and takes the first. Shards without such a zone are in
+// no group; this VM sends them itself.
 std::vector<gather_group> plan_gather(std::span<const base::service_id> shards,
                                       std::span<const deployment::gatherer> available,
                                       const target_directory& directory,
-                                      std::string_view own_name, base::instant now);
+                                      std::string_view own_name, base::instant now,
+                                      const base::zone_id* away = nullptr);
 
 // The second sends of one query that go through one gatherer of another zone.
 struct second_send_group
--- a/curranthoist/forwarding/gather_plan_test.cpp
+++ b/curranthoist/forwarding/gather_plan_test.cpp
@@ -179,6 +179,28 @@
     EXPECT_TRUE(plan().empty());
 }
 
+// Guards against a query that is given away and still gathered in several zones, and
+// against shards that are lost because the other zone can't serve them.
+TEST_F(gather_plan_test, a_query_that_leaves_goes_to_one_zone_as_far_as_that_has_targets)
+{
+    use(180);
+    const base::zone_id away("z2");
+    directory_.set_suspects({base::target_id("t1")});
+    const auto planned =
+        zones_of(plan_gather(shards_, gatherers_, directory_, "vm-1", now_, &away));
+    EXPECT_EQ(planned.size(), 180U);
+    std::size_t left = 0;
+    for (const auto& [shard, zone] : planned) {
+        left += zone == away ? 1 : 0;
+    }
+    // All of the 90 shards of that zone but the one whose target there does badly.
+    EXPECT_EQ(left, 89U);
+    EXPECT_EQ(planned.at(0), base::zone_id("z0"));
+    std::erase_if(gatherers_, [&away](const auto& one) { return one.zone == away; });
+    EXPECT_EQ(zones_of(plan_gather(shards_, gatherers_, directory_, "vm-1", now_, &away)),
+              zones_of(plan()));
+}
+
 // Guards against late parts that each cross zones on a connection of their own.
 TEST_F(gather_plan_test, second_sends_to_another_zone_go_through_its_gatherer)
 {
--- a/curranthoist/forwarding/target_directory.cpp
+++ b/curranthoist/forwarding/target_directory.cpp
@@ -8,9 +8,12 @@
 
 namespace {
 
-// Factor on the cost of a target of another zone, which causes traffic between zones. It
-// is chosen when the target of the own zone has half a request more.
+// Factor on the cost of a target of another zone, which is further away.
 constexpr double other_zone_factor = 1.4;
+// The wait that a caller accepts for a request that stays in the zone is at most this
+// many times the usual latency: a longer one would make a quick request miss its
+// objective.
+constexpr double max_zone_cost = 1.5;
 // Factor on the cost of a target without an idle connection, which causes a handshake and
 // thus processor time on both sides.
 constexpr double unconnected_factor = 1.3;
@@ -200,8 +203,9 @@
     return std::clamp(unclamped, min_half_life, max_half_life);
 }
 
-void target_directory::service_state::on_sent(base::instant now)
+void target_directory::service_state::on_sent(base::duration latency, base::instant now)
 {
+    expected_latency = latency;
     if (last_sent_at != base::instant()) {
         const auto interval = static_cast<double>((now - last_sent_at).count());
         smoothed_interval_ms += (interval - smoothed_interval_ms) *
@@ -210,12 +214,27 @@
     last_sent_at = now;
 }
 
+double target_directory::zone_cost(const service_state& service) const
+{
+    if (options_.zone_cost <= base::duration()) {
+        return 0;
+    }
+    const double in_latencies =
+        service.expected_latency <= base::duration()
+            ? max_zone_cost
+            : std::min(max_zone_cost,
+                       static_cast<double>(options_.zone_cost.count()) /
+                           static_cast<double>(service.expected_latency.count()));
+    return target_estimate::baseline_cost * in_latencies;
+}
+
 double target_directory::selection_cost(const target_state& target,
-                                        base::duration half_life, base::instant now) const
+                                        base::duration half_life, double zone_cost,
+                                        base::instant now) const
 {
     double result = target.estimate.cost(half_life, now);
     if (target.listed.zone != options_.own_zone) {
-        result *= other_zone_factor;
+        result = (result * other_zone_factor) + zone_cost;
     }
     if (!has_free_connection(target)) {
         result *= unconnected_factor;
@@ -236,6 +255,7 @@
         return nullptr;
     }
     const base::duration half_life = listed->second.half_life();
+    const double of_leaving = zone_cost(listed->second);
     const std::string* const ordered = versions_.running_version(service);
     const bool allows_ordered = ordered != nullptr && versions_.allows_next(service, now);
     const target_state* best = nullptr;
@@ -252,7 +272,7 @@
         if ((is_ordered && !allows_ordered) || (best_is_ordered && !is_ordered)) {
             continue;
         }
-        const double value = selection_cost(target, half_life, now);
+        const double value = selection_cost(target, half_life, of_leaving, now);
         // Each VM ranks equal targets in its own order, which spreads the load and lets
         // the VM reuse its connections.
         if (best == nullptr || is_ordered != best_is_ordered || value < best_cost ||
@@ -348,7 +368,7 @@
     const auto found = targets_.find(id);
     if (found != targets_.end()) {
         found->second.estimate.on_sent(expected_latency, now);
-        services_[found->second.listed.service].on_sent(now);
+        services_[found->second.listed.service].on_sent(expected_latency, now);
         versions_.on_sent(found->second.listed.service, found->second.listed.version,
                           now);
     }
--- a/curranthoist/forwarding/target_directory.hpp
+++ b/curranthoist/forwarding/target_directory.hpp
@@ -38,6 +38,8 @@
         std::string own_name = {};
         // Maximum time by which the list lags behind.
         base::duration list_lag{1000};
+        // The wait that a caller accepts for a request that stays in the zone.
+        base::duration zone_cost{0};
     };
     // Counts of the reasons why no target of a service can be chosen, for log lines.
     struct shortage
@@ -187,8 +189,10 @@
         std::vector<target_state*> targets;
         base::instant last_sent_at;
         double smoothed_interval_ms = 0;
+        // The usual latency of the last request; 0 if that is not known.
+        base::duration expected_latency;
 
-        void on_sent(base::instant now);
+        void on_sent(base::duration latency, base::instant now);
         // Returns the half-life with which observations of the targets decay.
         [[nodiscard]] base::duration half_life() const;
     };
@@ -208,8 +212,10 @@
         return target.connections > target.estimate.outstanding();
     }
     [[nodiscard]] double selection_cost(const target_state& target,
-                                        base::duration half_life,
+                                        base::duration half_life, double zone_cost,
                                         base::instant now) const;
+    // What is added to the cost of targets of other zones.
+    [[nodiscard]] double zone_cost(const service_state& service) const;
     // Keeps the target from requests until its health is known; the first probe follows
     // after `probe_delay`.
     void mark_unreachable(target_state& target, base::duration probe_delay,
--- a/curranthoist/forwarding/target_directory_test.cpp
+++ b/curranthoist/forwarding/target_directory_test.cpp
@@ -179,6 +179,43 @@
     EXPECT_FALSE(directory_.shortest_pause(base::service_id("other"), now_));
 }
 
+// Guards against requests that leave the zone because its target is merely in use, and
+// against requests that stay although it is far slower.
+TEST_F(target_directory_test, a_request_leaves_the_zone_only_if_it_would_wait_too_long)
+{
+    target_directory directory{
+        {base::zone_id("near"), "vm-1", duration(800), duration(40)}};
+    directory.apply({.targets = {target("t1"), target("t2", "far")}, .read_at = now_});
+    const auto chosen = [&] { return directory.choose(service, {}, now_)->id.str(); };
+    // Two requests, each of 28 ms, are open there.
+    directory.on_sent(base::target_id("t1"), duration(28), now_);
+    EXPECT_EQ(chosen(), "t1");
+    directory.on_sent(base::target_id("t1"), duration(28), now_);
+    directory.on_sent(base::target_id("t1"), duration(28), now_);
+    EXPECT_EQ(chosen(), "t2");
+    for (int i = 0; i < 3; ++i) {
+        directory.on_answer(base::target_id("t1"), response_kind::success, duration(28),
+                            duration(28), now_);
+    }
+    EXPECT_EQ(chosen(), "t1");
+    // A pause: no answer for twice the usual time.
+    directory.on_sent(base::target_id("t1"), duration(28), now_);
+    now_ = now_ + duration(100);
+    EXPECT_EQ(chosen(), "t2");
+}
+
+// Guards against a long wait for a quick request: it is worth no more than its own time.
+TEST_F(target_directory_test, a_quick_request_waits_less_for_its_own_zone)
+{
+    target_directory directory{
+        {base::zone_id("near"), "vm-1", duration(800), duration(4000)}};
+    directory.apply({.targets = {target("t1"), target("t2", "far")}, .read_at = now_});
+    for (int i = 0; i < 3; ++i) {
+        directory.on_sent(base::target_id("t1"), duration(9), now_);
+    }
+    EXPECT_EQ(directory.choose(service, {}, now_)->id, base::target_id("t2"));
+}
+
 // Guards against traffic to an evacuated zone, and to targets of a restored zone that are
 // cold again before the list says so.
 TEST_F(target_directory_test, a_zone_returns_once_a_later_list_was_read)
--- a/curranthoist/frontd/caller_task.cpp
+++ b/curranthoist/frontd/caller_task.cpp
@@ -102,9 +102,12 @@
     std::vector<forwarding::gather_group> groups;
     if (route_.gathers() && context_.gather != nullptr &&
         request_.body->size() <= max_gathered_body_bytes) {
-        groups =
-            forwarding::plan_gather(route_.shards, context_.gather->available(),
-                                    context_.directory, context_.own_name, clock_.now());
+        const auto away = route_.shards.size() < forwarding::min_shards_to_gather
+                              ? std::nullopt
+                              : context_.zones.next(clock_.now());
+        groups = forwarding::plan_gather(route_.shards, context_.gather->available(),
+                                         context_.directory, context_.own_name,
+                                         clock_.now(), away ? &*away : nullptr);
     }
     run_.emplace(route_, services_of(route_, context_.random), times(arrived_),
                  context_.directory, context_.budget, std::move(groups),
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -139,8 +139,8 @@
     : loop_(loop)
     , settings_(checked(std::move(settings)))
     , context_{loop,
-               forwarding::target_directory(
-                   {settings_.zone, settings_.name, settings_.list_lag}),
+               forwarding::target_directory({settings_.zone, settings_.name,
+                                             settings_.list_lag, settings_.zone_cost}),
                forwarding::extra_send_budget({settings_.extra_ratio,
                                               settings_.extra_slack,
                                               settings_.extra_window}),
@@ -156,7 +156,7 @@
     , configuration_(settings_.configuration_limit / configuration_wait_divisor)
     , key_lease_(settings_.revocation_limit)
     , team_admission_(context_.random.next())
-    , gather_links_(loop, settings_.name)
+    , gather_links_(loop, settings_.name, context_.traffic)
     , gather_server_(loop, gather_endpoint(settings_), context_)
     , tick_(loop)
     , started_(clock_.now())
@@ -231,6 +231,18 @@
         context_.directory.versions().set_shares(shares, at);
     };
     on.answers_by_version = [this] { return context_.directory.versions().answers(); };
+    on.answers_by_zone = [this] { return context_.zone_answers.counts(); };
+    on.on_zone_share = [this](std::optional<deployment::zone_share> share) {
+        context_.zones.set_share(std::move(share), clock_.now());
+    };
+    // Little depends on the reports of a front for which others gather, unless it has
+    // requests of teams or of roll-outs to report.
+    on.may_report_rarely = [this] {
+        return !gather_links_.gatherers().empty() && !context_.gathers &&
+               configuration_.current() && newest_table().teams().empty() &&
+               context_.directory.versions().answers().empty();
+    };
+    on.zone_cost = settings_.zone_cost;
     on.team_uses = [this] { return team_admission_.take_uses(); };
     return on;
 }
@@ -444,6 +456,7 @@
         .set(static_cast<std::int64_t>(callers_->evicted_connections()));
     metrics.gauge_named("curranthoist_open_sends", "Sends that open requests may need")
         .set(static_cast<std::int64_t>(context_.open_requests.sends()));
+    context_.traffic.publish(metrics);
     metrics.gauge_named("curranthoist_core_members", "Core members that answer")
         .set(static_cast<std::int64_t>(links_->live_members()));
     metrics.gauge_named("curranthoist_open_requests", "Requests without an answer yet")
--- a/curranthoist/frontd/gather_links.cpp
+++ b/curranthoist/frontd/gather_links.cpp
@@ -16,9 +16,11 @@
     std::unique_ptr<wire::peer_dialer> dialer;
 };
 
-gather_links::gather_links(ev::loop_ref loop, std::string own_name)
+gather_links::gather_links(ev::loop_ref loop, std::string own_name,
+                           base::zone_traffic& traffic)
     : loop_(loop)
     , own_name_(std::move(own_name))
+    , traffic_(traffic)
 {}
 
 gather_links::~gather_links() = default;
@@ -73,6 +75,8 @@
                           " reason=\"" + reason + "\"");
                 lose_requests(one.gatherer.name);
             });
+        one.dialer->count_traffic(
+            &traffic_.with(base::traffic_cause::gather, gatherer.zone));
     }
 }
 
--- a/curranthoist/frontd/gather_links.hpp
+++ b/curranthoist/frontd/gather_links.hpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/instant.hpp"
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/base/zone_traffic.hpp"
 #include "curranthoist/deployment/gatherer.hpp"
 #include "curranthoist/wire/peer_dialer.hpp"
 
@@ -33,7 +34,8 @@
     // is due.
     static constexpr base::duration silence_limit{1000};
 
-    gather_links(ev::loop_ref loop, std::string own_name);
+    // `traffic` counts what is exchanged with gatherers; it must outlive this object.
+    gather_links(ev::loop_ref loop, std::string own_name, base::zone_traffic& traffic);
     ~gather_links();
     gather_links(const gather_links&) = delete;
     gather_links& operator=(const gather_links&) = delete;
@@ -77,6 +79,7 @@
 
     ev::loop_ref loop_;
     std::string own_name_;
+    base::zone_traffic& traffic_;
     base::monotonic_clock clock_;
     base::logger log_{"gather"};
     std::vector<deployment::gatherer> gatherers_;
--- a/curranthoist/frontd/gather_task.cpp
+++ b/curranthoist/frontd/gather_task.cpp
@@ -99,6 +99,7 @@
         return false;
     }
     one.tried.push_back(target->id);
+    one.zone = target->zone;
     one.sent_at = now;
     one.open = true;
     ++open_parts_;
@@ -131,6 +132,7 @@
     one.response = platform::decode_target_result(std::move(result));
     one.kind = one.response.kind;
     context_.record_answer(one.tried.back(), one.response, took, latency_.usual(), now);
+    context_.zone_answers.add(one.zone, one.kind, took, latency_.usual());
     if (one.kind == response_kind::success) {
         latency_.add(took);
     }
@@ -273,6 +275,8 @@
         const base::target_id& target = one.tried.back();
         context_.directory.on_answer(target, response_kind::cancelled, now - one.sent_at,
                                      latency_.usual(), now);
+        context_.zone_answers.add(one.zone, response_kind::cancelled, now - one.sent_at,
+                                  latency_.usual());
         latency_.add_unfinished(now - one.sent_at);
         if (http::target_client* client = context_.pool.find(target)) {
             // Where requests are frequent, the target's slot is worth more than the
--- a/curranthoist/frontd/gather_task.hpp
+++ b/curranthoist/frontd/gather_task.hpp
@@ -49,6 +49,8 @@
     {
         base::service_id service;
         std::vector<base::target_id> tried;
+        // Of the last target.
+        base::zone_id zone;
         http::target_client::call_number number = 0;
         base::instant sent_at;
         bool open = false;
--- a/curranthoist/frontd/target_pool.cpp
+++ b/curranthoist/frontd/target_pool.cpp
@@ -6,7 +6,8 @@
 
 http::target_client& target_pool::client(const base::target_id& id,
                                          const base::endpoint& address,
-                                         std::size_t max_connections)
+                                         std::size_t max_connections,
+                                         base::traffic_count* traffic)
 {
     auto& found = clients_[id];
     if (found && found->remote() != address) {
@@ -14,6 +15,7 @@
     }
     if (!found) {
         found = std::make_unique<http::target_client>(loop_, address, max_connections);
+        found->count_traffic(traffic);
         found->limit_memory(memory_);
         found->limit_sockets(sockets_);
         found->share_numbers(last_call_);
--- a/curranthoist/frontd/target_pool.hpp
+++ b/curranthoist/frontd/target_pool.hpp
@@ -43,8 +43,10 @@
     }
 
     // The client of a target; created at the first call.
+    // `traffic` counts what it exchanges with the target; null for nobody.
     http::target_client& client(const base::target_id& id, const base::endpoint& address,
-                                std::size_t max_connections);
+                                std::size_t max_connections,
+                                base::traffic_count* traffic = nullptr);
     // The client if there is one. It knows no call of a former client of that id.
     [[nodiscard]] http::target_client* find(const base::target_id& id);
     // The targets are gone: their unsent calls are taken back, and their clients end once
--- a/curranthoist/frontd/task_context.hpp
+++ b/curranthoist/frontd/task_context.hpp
@@ -3,11 +3,14 @@
 #include "curranthoist/base/counter_registry.hpp"
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/base/random_source.hpp"
+#include "curranthoist/base/zone_traffic.hpp"
 #include "curranthoist/deployment/configuration.hpp"
 #include "curranthoist/forwarding/extra_send_budget.hpp"
 #include "curranthoist/forwarding/open_request_limit.hpp"
 #include "curranthoist/forwarding/return_schedule.hpp"
 #include "curranthoist/forwarding/target_directory.hpp"
+#include "curranthoist/forwarding/zone_answer_counts.hpp"
+#include "curranthoist/forwarding/zone_choice.hpp"
 #include "curranthoist/frontd/route_latency.hpp"
 #include "curranthoist/frontd/target_pool.hpp"
 #include "curranthoist/platform/caller_exchange.hpp"
@@ -45,6 +48,12 @@
     std::string own_name = {};
     // The configuration in force; null before the first.
     std::shared_ptr<const deployment::configuration> configuration = nullptr;
+    // How the parts ended that this process gathered.
+    forwarding::zone_answer_counts zone_answers = {};
+    // Which queries of callers leave the zone.
+    forwarding::zone_choice zones{random.unit()};
+    // What this process exchanges with targets and gatherers.
+    base::zone_traffic traffic{directory.own_zone()};
     // When callers come back whose requests have not run.
     forwarding::return_schedule returns = {};
     // The requests of callers and of other fronts that are open at once.
@@ -58,7 +67,8 @@
         const auto limits = source.services.find(target.service);
         const std::size_t connections =
             limits == source.services.end() ? 1 : limits->second.max_connections;
-        return pool.client(target.id, target.address, connection_share(connections));
+        return pool.client(target.id, target.address, connection_share(connections),
+                           &traffic.with(base::traffic_cause::targets, target.zone));
     }
     // Takes over what a target said of itself in an answer.
     void on_notice(const base::target_id& target, const forwarding::target_notice& notice,
--- a/curranthoist/http/target_client.cpp
+++ b/curranthoist/http/target_client.cpp
@@ -442,6 +442,12 @@
             call.result.request_may_have_left = true;
             call.result.connection = connection.number;
             ++connection.calls;
+            if (traffic_ != nullptr) {
+                ++traffic_->messages;
+            }
+        }
+        if (traffic_ != nullptr) {
+            traffic_->sent_bytes += static_cast<std::uint64_t>(size);
         }
         connection.sent += static_cast<std::size_t>(size);
     }
@@ -461,6 +467,9 @@
             end_connection(connection, size == 0);
             return;
         }
+        if (traffic_ != nullptr) {
+            traffic_->received_bytes += static_cast<std::uint64_t>(size);
+        }
         const auto outcome = connection.reader->read(
             std::string_view(buffer.data(), static_cast<std::size_t>(size)));
         if (outcome) {
--- a/curranthoist/http/target_client.hpp
+++ b/curranthoist/http/target_client.hpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/endpoint.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/base/traffic_count.hpp"
 #include "curranthoist/http/memory_account.hpp"
 #include "curranthoist/http/socket_budget.hpp"
 #include "curranthoist/http/target_call.hpp"
@@ -100,6 +101,8 @@
     {
         last_call_ = std::move(last_call);
     }
+    // Adds what is sent and received to `count`, which must outlive the client.
+    void count_traffic(base::traffic_count* count) { traffic_ = count; }
     // Closes a connection that serves no call; returns false if there is none.
     bool close_idle();
     // Lets calls go on that waited for a socket of the shared limit.
@@ -169,6 +172,8 @@
     std::shared_ptr<memory_account> memory_;
     // Null without a shared limit.
     std::shared_ptr<socket_budget> sockets_;
+    // Null while nobody counts.
+    base::traffic_count* traffic_ = nullptr;
     ev::timer delivery_timer_;
     std::uint64_t last_connection_ = 0;
     std::shared_ptr<call_number> last_call_ = std::make_shared<call_number>(0);
--- a/curranthoist/platform/process_shell.hpp
+++ b/curranthoist/platform/process_shell.hpp
@@ -127,10 +127,11 @@
 
 template <class Process>
 int serve(const std::string& file, bool check_only, std::uint16_t metrics_port,
-          std::size_t gather_from_fronts, held_signals& held)
+          std::size_t gather_from_fronts, base::duration zone_cost, held_signals& held)
 {
     node_settings settings = read_node_settings(file);
     settings.gather_from_fronts = gather_from_fronts;
+    settings.zone_cost = zone_cost;
     if (check_only) {
         std::puts("settings are valid");
         return base::exit_ok;
@@ -168,6 +169,7 @@
     bool check_only = false;
     std::uint16_t metrics_port = 0;
     std::size_t gather_from_fronts = node_settings().gather_from_fronts;
+    auto zone_cost_ms = static_cast<std::uint32_t>(node_settings().zone_cost.count());
     app.add_option("--settings", file,
                    "Settings file; by default the one that the environment names");
     app.add_option("--log-level", level, "debug, info, warn or error");
@@ -176,6 +178,9 @@
     app.add_option("--gather-from-fronts", gather_from_fronts,
                    "Number of front processes from which the core has a few of them "
                    "gather the parts of large queries for the others; 0 for never");
+    app.add_option("--zone-cost-ms", zone_cost_ms,
+                   "Wait in milliseconds that a caller accepts for a query that stays "
+                   "in its availability zone (front)");
     app.add_flag("--check-settings", check_only, "Check the settings and exit");
     app.set_version_flag("--version", program.name + " " + CURRANTHOIST_VERSION);
     app.footer("Exit codes:\n"
@@ -197,7 +202,8 @@
     }
     return base::status_of([&] {
         return serve<Process>(file.empty() ? settings_path() : file, check_only,
-                              metrics_port, gather_from_fronts, held);
+                              metrics_port, gather_from_fronts,
+                              base::duration(zone_cost_ms), held);
     });
 }
 
--- a/curranthoist/wire/peer_connection.cpp
+++ b/curranthoist/wire/peer_connection.cpp
@@ -96,6 +96,9 @@
     if (descriptor_ < 0) {
         return;
     }
+    if (traffic_ != nullptr) {
+        ++traffic_->messages;
+    }
     queued_bytes_ += frame.size();
     queue_.push_back(std::move(frame));
     // The socket is written from the loop only, so that a failing write never destroys
@@ -122,6 +125,9 @@
             return;
         }
         bytes_sent_ += static_cast<std::uint64_t>(sent);
+        if (traffic_ != nullptr) {
+            traffic_->sent_bytes += static_cast<std::uint64_t>(sent);
+        }
         queued_bytes_ -= static_cast<std::size_t>(sent);
         front_sent_ += static_cast<std::size_t>(sent);
         if (front_sent_ == front.size()) {
@@ -154,6 +160,9 @@
     const ssize_t got = ::recv(descriptor_, buffer.data(), buffer.size(), 0);
     if (got > 0) {
         bytes_received_ += static_cast<std::uint64_t>(got);
+        if (traffic_ != nullptr) {
+            traffic_->received_bytes += static_cast<std::uint64_t>(got);
+        }
         return consume(static_cast<std::size_t>(got), buffer.data());
     }
     if (got == 0) {
--- a/curranthoist/wire/peer_connection.hpp
+++ b/curranthoist/wire/peer_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "curranthoist/base/duration.hpp"
+#include "curranthoist/base/traffic_count.hpp"
 #include "curranthoist/wire/frame_codec.hpp"
 
 #include <ev++.h>
@@ -59,6 +60,9 @@
     [[nodiscard]] bool is_open() const { return descriptor_ >= 0; }
     // Bytes that wait to be sent.
     [[nodiscard]] std::size_t queued_bytes() const { return queued_bytes_; }
+    // Adds what is read and written from now on to `count`, which must outlive the
+    // connection.
+    void count_traffic(base::traffic_count* count) { traffic_ = count; }
     // Bytes read from and written to the socket since it was opened.
     [[nodiscard]] std::uint64_t bytes_received() const { return bytes_received_; }
     [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
@@ -90,6 +94,8 @@
     std::deque<std::vector<std::uint8_t>> queue_;
     std::size_t front_sent_ = 0;
     std::size_t queued_bytes_ = 0;
+    // Null while nobody counts.
+    base::traffic_count* traffic_ = nullptr;
     std::uint64_t bytes_received_ = 0;
     std::uint64_t bytes_sent_ = 0;
     closed_flag* closed_in_handler_ = nullptr;
--- a/curranthoist/wire/peer_dialer.cpp
+++ b/curranthoist/wire/peer_dialer.cpp
@@ -102,6 +102,7 @@
     connection_ = std::make_unique<peer_connection>(
         loop_, descriptor, on_message_,
         [this](const std::string& reason) { connection_lost(reason); });
+    connection_->count_traffic(traffic_);
     connected_ = true;
     delay_ = min_delay;
     on_connect_();
--- a/curranthoist/wire/peer_dialer.hpp
+++ b/curranthoist/wire/peer_dialer.hpp
@@ -49,6 +49,10 @@
     // The same for an encoded frame.
     bool send_frame(std::vector<std::uint8_t> frame);
 
+    // Adds what is read and written to `count`, which must outlive the dialer. To be
+    // called before the loop runs.
+    void count_traffic(base::traffic_count* count) { traffic_ = count; }
+
     // Drops the current connection, if any, without calling the close handler, and
     // connects again at once. For a connection that has gone silent.
     void reconnect();
@@ -76,6 +80,8 @@
     int connecting_ = -1;
     bool connected_ = false;
     base::duration delay_ = min_delay;
+    // Null while nobody counts.
+    base::traffic_count* traffic_ = nullptr;
     std::unique_ptr<peer_connection> connection_;
 };
 
