--- a/curranthoist/consensus/internal/replica_host.hpp
+++ b/curranthoist/consensus/internal/replica_host.hpp
@@ -39,7 +39,7 @@
     , links_(
           loop,
           {replica_.self(), options_.zone, options_.incarnation, options_.listen,
-           options_.accepted},
+           options_.accepted, options_.traffic},
           [this](const message_body& message) { on_peer_message(message); },
           std::move(on_entry))
     , timer_(loop)
--- a/curranthoist/frontd/core_updates.cpp
+++ b/curranthoist/frontd/core_updates.cpp
@@ -15,11 +15,13 @@
 namespace curranthoist::frontd {
 
 core_updates::core_updates(front_state& state, target_upkeep& upkeep, gather_links& links,
-                           base::zone_id own_zone, configuration_handler on_configuration)
+                           base::zone_id own_zone, base::duration zone_cost,
+                           configuration_handler on_configuration)
     : state_(state)
     , upkeep_(upkeep)
     , links_(links)
     , own_zone_(std::move(own_zone))
+    , zone_cost_(zone_cost)
     , on_configuration_(std::move(on_configuration))
 {}
 
@@ -67,6 +69,18 @@
     on.answers_by_version = [this] {
         return state_.context.directory.versions().answers();
     };
+    on.answers_by_zone = [this] { return state_.context.zone_answers.counts(); };
+    on.on_zone_share = [this](std::optional<deployment::zone_share> share) {
+        state_.context.zones.set_share(std::move(share), clock_.now());
+    };
+    // Little depends on the reports of a front for which others gather, unless it has
+    // requests of teams or of roll-outs to report.
+    on.may_report_rarely = [this] {
+        return !links_.gatherers().empty() && !state_.context.gathers &&
+               state_.configuration.current() && state_.newest_table().teams().empty() &&
+               state_.context.directory.versions().answers().empty();
+    };
+    on.zone_cost = zone_cost_;
     on.team_uses = [this] { return state_.team_admission.report_uses(); };
     return on;
 }
--- a/curranthoist/frontd/core_updates.hpp
+++ b/curranthoist/frontd/core_updates.hpp
@@ -26,7 +26,8 @@
     // All references must outlive it. `on_configuration` is called with each
     // configuration that takes effect.
     core_updates(front_state& state, target_upkeep& upkeep, gather_links& links,
-                 base::zone_id own_zone, configuration_handler on_configuration);
+                 base::zone_id own_zone, base::duration zone_cost,
+                 configuration_handler on_configuration);
     core_updates(const core_updates&) = delete;
     core_updates& operator=(const core_updates&) = delete;
 
@@ -43,6 +44,8 @@
     target_upkeep& upkeep_;
     gather_links& links_;
     base::zone_id own_zone_;
+    // The wait that a caller accepts for a request that stays in the zone.
+    base::duration zone_cost_;
     configuration_handler on_configuration_;
     base::logger log_{"front"};
     base::monotonic_clock clock_;
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -63,11 +63,12 @@
     : loop_(loop)
     , settings_(checked(std::move(settings)))
     , state_{{loop,
-              forwarding::target_directory(
-                  {settings_.zone, settings_.name, settings_.list_lag,
-                   forwarding::version_share::lifetime_for(
-                       settings_.rollback_limit,
-                       coreclient::core_links::max_report_delay)}),
+              forwarding::target_directory({settings_.zone, settings_.name,
+                                            settings_.list_lag,
+                                            forwarding::version_share::lifetime_for(
+                                                settings_.rollback_limit,
+                                                coreclient::core_links::max_report_delay),
+                                            settings_.zone_cost}),
               forwarding::extra_send_budget(
                   {settings_.extra_ratio, settings_.extra_slack, settings_.extra_window}),
               target_pool(
@@ -83,11 +84,11 @@
                                               configuration_wait_divisor),
              forwarding::key_lease(settings_.revocation_limit),
              forwarding::team_admission(std::random_device()())}
-    , gather_links_(loop, settings_.name)
+    , gather_links_(loop, settings_.name, state_.context.traffic)
     , gather_server_(loop, gather_endpoint(settings_), state_.context,
                      gather_port_limits(settings_))
     , upkeep_(state_, settings_.zone)
-    , updates_(state_, upkeep_, gather_links_, settings_.zone,
+    , updates_(state_, upkeep_, gather_links_, settings_.zone, settings_.zone_cost,
                [this](const deployment::configuration& now) { set_caller_limits(now); })
     , admission_(state_, [this] { return links_->live_members() == 0; })
     , tick_(loop)
--- a/curranthoist/frontd/group_sends.cpp
+++ b/curranthoist/frontd/group_sends.cpp
@@ -32,10 +32,14 @@
     if (!may_gather()) {
         return {};
     }
-    const task_context& context = request_.context;
+    task_context& context = request_.context;
+    const base::instant now = request_.clock.now();
+    const auto away = request_.route.shards.size() < forwarding::min_shards_to_gather
+                          ? std::nullopt
+                          : context.zones.next(now);
     return forwarding::plan_gather(request_.route.shards, context.gather->available(),
-                                   context.directory, context.own_name,
-                                   request_.clock.now());
+                                   context.directory, context.own_name, now,
+                                   away ? &*away : nullptr);
 }
 
 void group_sends::divide_second_sends(
--- a/curranthoist/frontd/process_gauges.cpp
+++ b/curranthoist/frontd/process_gauges.cpp
@@ -43,6 +43,7 @@
         .set(static_cast<std::int64_t>(callers.evicted_connections()));
     metrics.gauge_named("curranthoist_open_sends", "Sends that open requests may need")
         .set(static_cast<std::int64_t>(context.open_requests.sends()));
+    state.context.traffic.publish(metrics);
     metrics.gauge_named("curranthoist_core_members", "Core members that answer")
         .set(static_cast<std::int64_t>(links.live_members()));
     metrics.gauge_named("curranthoist_open_requests", "Requests without an answer yet")
--- a/curranthoist/wire/peer_connection.cpp
+++ b/curranthoist/wire/peer_connection.cpp
@@ -156,6 +156,9 @@
     if (!is_open()) {
         return;
     }
+    if (traffic_ != nullptr) {
+        ++traffic_->messages;
+    }
     if (queue_.empty()) {
         last_progress_ = clock_.now();
     }
@@ -189,6 +192,9 @@
             return;
         }
         bytes_sent_ += static_cast<std::uint64_t>(sent);
+        if (traffic_ != nullptr) {
+            traffic_->sent_bytes += static_cast<std::uint64_t>(sent);
+        }
         queued_bytes_ -= static_cast<std::size_t>(sent);
         front_sent_ += static_cast<std::size_t>(sent);
         last_progress_ = clock_.now();
@@ -224,6 +230,9 @@
     const ssize_t got = ::recv(descriptor_, buffer.data(), buffer.size(), 0);
     if (got > 0) {
         bytes_received_ += static_cast<std::uint64_t>(got);
+        if (traffic_ != nullptr) {
+            traffic_->received_bytes += static_cast<std::uint64_t>(got);
+        }
         return consume(static_cast<std::size_t>(got), buffer.data());
     }
     if (got == 0) {
--- a/curranthoist/wire/peer_connection.hpp
+++ b/curranthoist/wire/peer_connection.hpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/duration.hpp"
 #include "curranthoist/base/instant.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/base/traffic_count.hpp"
 #include "curranthoist/wire/frame_codec.hpp"
 
 #include <ev++.h>
@@ -78,6 +79,9 @@
     }
     // Bytes that wait to be sent.
     [[nodiscard]] std::size_t queued_bytes() const { return queued_bytes_; }
+    // Adds what is read and written from now on to `count`, which must outlive the
+    // connection.
+    void count_traffic(base::traffic_count* count) { traffic_ = count; }
     // Bytes read from and written to the socket since it was opened.
     [[nodiscard]] std::uint64_t bytes_received() const { return bytes_received_; }
     [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
@@ -120,6 +124,8 @@
     std::deque<std::vector<std::uint8_t>> queue_;
     std::size_t front_sent_ = 0;
     std::size_t queued_bytes_ = 0;
+    // Null while nobody counts.
+    base::traffic_count* traffic_ = nullptr;
     std::uint64_t bytes_received_ = 0;
     std::uint64_t bytes_sent_ = 0;
     closed_flag* closed_in_handler_ = nullptr;
