Show operators a team's limit, credit, use and refusals

An operator who is asked why a team is refused had to sum counters over fronts by hand, and the leader's account was in no metric. The leader serves each limited team's limit, burst, credit, demand and fitting part as metrics, and curranthoist-ctl team reads them and the fronts' counters from the metrics ports that it is given, and prints both. Neither contains keys.

--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -4,6 +4,7 @@
 #include "curranthoist/base/wall_clock.hpp"
 #include "curranthoist/consensus/membership.hpp"
 #include "curranthoist/cored/operator_server_options.hpp"
+#include "curranthoist/cored/team_metrics.hpp"
 #include "curranthoist/platform/configuration_document.hpp"
 
 #include <algorithm>
@@ -369,7 +370,9 @@
         static_cast<std::int64_t>(sessions_.waiting()));
     set("curranthoist_list_age_ms", "Since the last reading of the list by this process",
         sessions_.listing_age().count());
-    return requests_.metrics().prometheus_text();
+    // Other members have no accounts.
+    return requests_.metrics().prometheus_text() +
+           (host_.is_leader() ? team_metrics(sessions_.team_standings()) : "");
 }
 
 } // namespace curranthoist::cored
--- a/curranthoist/cored/front_sessions.hpp
+++ b/curranthoist/cored/front_sessions.hpp
@@ -121,6 +121,11 @@
     {
         return listing_ ? clock_.now() - listing_->read_at : base::duration(-1);
     }
+    // The teams with a limit, on the leader.
+    [[nodiscard]] std::vector<team_standing> team_standings() const
+    {
+        return accounts_.standings(clock_.now());
+    }
 
 private:
     // Names one list: the reader's term and its count.
--- a/curranthoist/cored/team_accounts.cpp
+++ b/curranthoist/cored/team_accounts.cpp
@@ -92,6 +92,7 @@
     for (auto& [name, one] : accounts_) {
         fill(one, now);
         measure(one, now);
+        one.admitted_part = 1.0;
         const double demand = std::max(
             one.demand, one.arrived / std::max(seconds_between(now, one.measured_at),
                                                measured_time.seconds()));
@@ -105,6 +106,7 @@
         const double fitting = one.rate + one.tokens / spread_s;
         const double part = std::clamp(fitting / demand, 0.0, 1.0);
         if (part < 1.0) {
+            one.admitted_part = part;
             const double wait_s =
                 std::max(0.0, 1.0 - one.tokens) / std::max(one.rate, 0.001);
             result.push_back({name, part,
@@ -115,4 +117,15 @@
     return result;
 }
 
+std::vector<team_standing> team_accounts::standings(base::instant now) const
+{
+    std::vector<team_standing> result;
+    for (auto [name, one] : accounts_) {
+        fill(one, now);
+        result.push_back(
+            {name, one.rate, one.burst, one.tokens, one.demand, one.admitted_part});
+    }
+    return result;
+}
+
 } // namespace curranthoist::cored
--- a/curranthoist/cored/team_accounts.hpp
+++ b/curranthoist/cored/team_accounts.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "curranthoist/base/instant.hpp"
+#include "curranthoist/cored/team_standing.hpp"
 #include "curranthoist/deployment/team.hpp"
 #include "curranthoist/deployment/team_use.hpp"
 
@@ -34,6 +35,8 @@
     void add(std::span<const deployment::team_use> uses, base::instant now);
     // The teams of which only a part fits now.
     [[nodiscard]] std::vector<deployment::team_share> shares(base::instant now);
+    // All teams with a limit, by name.
+    [[nodiscard]] std::vector<team_standing> standings(base::instant now) const;
 
 private:
     struct account
@@ -46,6 +49,8 @@
         double demand = 0.0;
         double arrived = 0.0;
         base::instant measured_at;
+        // Of the last shares.
+        double admitted_part = 1.0;
     };
 
     void fill(account& one, base::instant now) const;
--- a/curranthoist/ctl/main.cpp
+++ b/curranthoist/ctl/main.cpp
@@ -3,6 +3,7 @@
 #include "curranthoist/ctl/check_command.hpp"
 #include "curranthoist/ctl/commands.hpp"
 #include "curranthoist/ctl/story.hpp"
+#include "curranthoist/ctl/team_command.hpp"
 
 #include <CLI/CLI.hpp>
 #include <curl/curl.h>
@@ -27,7 +28,8 @@
   5  no leader answered; an intent that was sent may have been accepted, so send it
      again with the same --intent-id
   6  not confirmed
-  7  explain: no such decision is kept; story: no line names the request
+  7  explain: no such decision is kept; story: no line names the request;
+     team: no process that answered knows it
   8  check: the document has errors, so the core would refuse it
   9  check: the document or the one in force can't be read)";
 
@@ -48,7 +50,7 @@
 {
     app.add_option("--control", chosen.controls,
                    "address:port of a control process; repeat it for each of them. Every "
-                   "command but story and check needs it")
+                   "command but story, check and team needs it")
         ->check(check_control);
     app.add_option("--operator", chosen.operator_name, "Who decides; needed by apply");
     app.add_option("--intent-id", chosen.intent_id,
@@ -67,6 +69,9 @@
     if (name == "check") {
         return curranthoist::ctl::check(chosen);
     }
+    if (name == "team") {
+        return curranthoist::ctl::show_team(chosen);
+    }
     commands all(chosen);
     if (name == "plan") {
         return all.plan();
@@ -113,12 +118,21 @@
     check->add_option("--against", chosen.against,
                       "File with the configuration in force; --control reads it from "
                       "there instead");
+    auto* team = app.add_subcommand(
+        "team", "Show a team's limit, credit and use, and why it was refused");
+    team->add_option("team", chosen.subject, "The team's name")->required();
+    team->add_option("--metrics", chosen.metrics,
+                     "address:port of a process's metrics; repeat it for each core "
+                     "process and front")
+        ->required()
+        ->check(check_control);
     try {
         app.parse(argc, argv);
         if (!chosen.against.empty() && !chosen.controls.empty()) {
             throw CLI::ExcludesError("--against", "--control");
         }
-        if (!story->parsed() && !check->parsed() && chosen.controls.empty()) {
+        if (!story->parsed() && !check->parsed() && !team->parsed() &&
+            chosen.controls.empty()) {
             throw CLI::RequiredError("--control");
         }
         if (apply->parsed() && chosen.operator_name.empty()) {
--- a/curranthoist/ctl/options.hpp
+++ b/curranthoist/ctl/options.hpp
@@ -19,7 +19,9 @@
     std::vector<std::string> words;
     // A file with one intent or a list of them.
     std::string file;
-    // For `explain`, `story` and `check`: a decision, a request, a file.
+    // "address:port" of processes' metrics, for `team`.
+    std::vector<std::string> metrics;
+    // For `explain`, `story`, `check` and `team`: a decision, a request, a file, a team.
     std::string subject;
     // For `check`: a file with the document in force.
     std::string against;
