Fuzz the headers for key and team

Nothing played headers for keys and teams in odd spellings, as of one connection, or several times.

The target's build through scripts/fuzz has not been run.

--- a/curranthoist/testing/fuzz/seeds.cpp
+++ b/curranthoist/testing/fuzz/seeds.cpp
@@ -359,25 +359,50 @@
             bytes_of(turned_away + "Retry-After:Wed, 21 Oct 2026 07:28:00 GMT\n")};
 }
 
-// Pages with entries of another writer before, behind and between good ones.
-inputs target_page_inputs()
+// Headers of callers with and without keys, and with what only the system may say.
+inputs team_header_inputs()
 {
-    constexpr std::size_t nested = 2000;
-    const std::string good =
-        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
-        R"("slots":2,"state":"ready","cold_remaining_ms":1500,"id":"i-1"})";
-    const auto page = [&good](const std::string& odd) {
-        return bytes_of(R"({"instances":[)" + good + "," + odd + "," + good +
-                        R"(],"next_page_token":"p-50"})");
-    };
-    return {page("7"),
-            page(std::string(nested, '[') + std::string(nested, ']')),
-            page(R"({"id":"i-2","slots":1e999,"address":"10.0.0.1:99999"})"),
-            page("\"\xFF\xFE\""),
-            page(R"({"id":"i-2)"),
-            bytes_of(R"({"next_page_token":null,"instances":[]})")};
+    return {bytes_of("Host:h
+Key:key-1
+Tenant:team-b
+"),
+            bytes_of("KEY:key-2
+tenant:team-a
+tEnAnT:x
+"),
+            bytes_of("Connection:Key, Tenant
+Key:key-3
+Tenant:y
+"),
+            bytes_of("Key:
+Tenant:
+X-Key:key-1
+"),
+            bytes_of("Key : key-1
+ Tenant:z
+Key	:key-3
+")};
 }
 
+// Pages with entries of another writer before, behind and between good ones.
+inputs target_page_inputs()
+    {
+        constexpr std::size_t nested = 2000;
+        const std::string good =
+            R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
+            R"("slots":2,"state":"ready","cold_remaining_ms":1500,"id":"i-1"})";
+        const auto page = [&good](const std::string& odd) {
+            return bytes_of(R"({"instances":[)" + good + "," + odd + "," + good +
+                            R"(],"next_page_token":"p-50"})");
+        };
+        return {page("7"),
+                page(std::string(nested, '[') + std::string(nested, ']')),
+                page(R"({"id":"i-2","slots":1e999,"address":"10.0.0.1:99999"})"),
+                page("\"\xFF\xFE\""),
+                page(R"({"id":"i-2)"),
+                bytes_of(R"({"next_page_token":null,"instances":[]})")};
+    }
+
 } // namespace
 
 std::map<std::string, std::vector<std::vector<std::uint8_t>>>
@@ -408,7 +433,8 @@
              {file_content(examples + "/entry.toml"),
               file_content(examples + "/control.toml")}},
             {"snapshot_fuzz", {deployed().snapshot()}},
-            {"target_page_fuzz", target_page_inputs()}};
+            {"target_page_fuzz", target_page_inputs()},
+            {"team_header_fuzz", team_header_inputs()}};
 }
 
 } // namespace curranthoist::testing::fuzz
