Use new targets out of touch when the old ones have stopped

Cause: the old targets stop as soon as a roll-out completes. A front that was cut off from the core then kept the running roll-out, whose share had closed, and refused the service's requests until it heard the core again. Change: the platform's contact_ms is read. A front that has not heard the leader for that time, so that the bounds of roll-outs don't hold for it, sends to targets of the ordered version while the service has no usable target of another version. The first answer of a leader ends that. No process test cuts a front off during a completion.

--- a/curranthoist/forwarding/target_directory.cpp
+++ b/curranthoist/forwarding/target_directory.cpp
@@ -192,10 +192,28 @@
 }
 
 bool target_directory::is_usable(const target_state& target, base::instant now) const
+{
+    const base::service_id& service = target.listed.service;
+    return is_sound(target, now) &&
+           (versions_.is_allowed(service, target.listed.version, now) ||
+            (versions_.is_substitute(service, target.listed.version, now) &&
+             needs_substitute(service, now)));
+}
+
+bool target_directory::needs_substitute(const base::service_id& service,
+                                        base::instant now) const
+{
+    const std::vector<target_state*>& targets = services_.at(service).targets;
+    return std::none_of(targets.begin(), targets.end(), [&](const target_state* target) {
+        return versions_.is_allowed(service, target->listed.version, now) &&
+               is_sound(*target, now);
+    });
+}
+
+bool target_directory::is_sound(const target_state& target, base::instant now) const
 {
     if (target.listed.draining || target.unreachable || now < target.cold_until ||
-        now < target.paused_until || evacuated_.contains(target.listed.zone) ||
-        !versions_.is_allowed(target.listed.service, target.listed.version, now)) {
+        now < target.paused_until || evacuated_.contains(target.listed.zone)) {
         return false;
     }
     const auto restored = zone_restored_at_.find(target.listed.zone);
@@ -247,7 +265,9 @@
     }
     const base::duration half_life = listed->second.half_life();
     const std::string* const ordered = versions_.running_version(service);
-    const bool allows_ordered = ordered != nullptr && versions_.allows_next(service, now);
+    const bool allows_ordered =
+        ordered != nullptr && (versions_.allows_next(service, now) ||
+                               versions_.is_substitute(service, *ordered, now));
     const target_state* best = nullptr;
     bool best_is_ordered = false;
     double best_cost = 0;
--- a/curranthoist/forwarding/target_directory.hpp
+++ b/curranthoist/forwarding/target_directory.hpp
@@ -39,6 +39,7 @@
         // Maximum time by which the list lags behind.
         base::duration list_lag{1000};
         base::duration share_lifetime = version_share::max_lifetime;
+        base::duration contact_limit = version_rules::default_contact_limit;
     };
     // Counts of the reasons why no target of a service can be chosen, for log lines.
     struct shortage
@@ -58,7 +59,7 @@
 
     explicit target_directory(options directory_options)
         : options_(std::move(directory_options))
-        , versions_(options_.own_name, options_.share_lifetime)
+        , versions_(options_.own_name, options_.share_lifetime, options_.contact_limit)
     {}
 
     // Applies a change of the list. Returns the targets that are no longer listed.
@@ -204,6 +205,12 @@
     void retain_notice(const base::target_id& id, base::instant now);
     void restore_notice(target_state& target, base::instant now);
     [[nodiscard]] bool is_usable(const target_state& target, base::instant now) const;
+    // The same, whatever the roll-outs allow.
+    [[nodiscard]] bool is_sound(const target_state& target, base::instant now) const;
+    // Returns true if a roll-out of the service may have completed unheard, and no target
+    // that it allows is sound.
+    [[nodiscard]] bool needs_substitute(const base::service_id& service,
+                                        base::instant now) const;
     [[nodiscard]] bool has_free_connection(const target_state& target) const
     {
         // Each request without a response holds a connection of its own.
--- a/curranthoist/forwarding/target_directory_test.cpp
+++ b/curranthoist/forwarding/target_directory_test.cpp
@@ -540,6 +540,25 @@
     EXPECT_EQ(chosen("b"), "a");
 }
 
+// Guards against a service that a VM out of touch refuses because the roll-out completed
+// unheard and the old targets stopped, and against new targets used any earlier.
+TEST_F(rollout_directory_test, an_unheard_completion_leaves_the_new_targets)
+{
+    set_share(0.5);
+    advance(version_rules::default_contact_limit.count() + 1);
+    EXPECT_EQ(chosen(), "a");
+    EXPECT_FALSE(directory_.is_usable(base::target_id("b"), now_));
+    send_and_respond("a", response_kind::unreachable);
+    set_share(0.0);
+    advance(version_rules::default_contact_limit.count());
+    EXPECT_EQ(chosen(), "");
+    advance(1);
+    EXPECT_EQ(chosen(), "b");
+    EXPECT_TRUE(directory_.is_usable(base::target_id("b"), now_));
+    set_share(0.0);
+    EXPECT_EQ(chosen(), "");
+}
+
 // Guards against requests to new targets that are listed before their order is known.
 TEST_F(rollout_directory_test, a_joining_version_waits_for_the_state_of_its_reading)
 {
--- a/curranthoist/forwarding/version_rules.cpp
+++ b/curranthoist/forwarding/version_rules.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/forwarding/version_rules.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <set>
 
@@ -84,6 +85,7 @@
 void version_rules::set_shares(std::span<const deployment::rollout_share> shares,
                                base::instant named_at)
 {
+    heard_at_ = std::max(heard_at_, named_at);
     for (auto& [service, rules] : services_) {
         double share = 0.0;
         for (const deployment::rollout_share& one : shares) {
@@ -135,6 +137,16 @@
            version != rules.order.target_version || rules.share.is_open(now);
 }
 
+bool version_rules::is_substitute(const base::service_id& service,
+                                  const std::string& version, base::instant now) const
+{
+    const service_rules* const rules = find_running(service);
+    // Before the first answer of a leader it isn't known for how long there was none.
+    return rules != nullptr && rules->order.target_version == version &&
+           !rules->order.excluded_versions.contains(version) &&
+           heard_at_ != base::instant() && now - heard_at_ > contact_limit_;
+}
+
 const std::string* version_rules::running_version(const base::service_id& service) const
 {
     const service_rules* const rules = find_running(service);
--- a/curranthoist/forwarding/version_rules.hpp
+++ b/curranthoist/forwarding/version_rules.hpp
@@ -22,12 +22,16 @@
 public:
     // An order is committed or refused within this time, unless the core has no leader.
     static constexpr base::duration join_hold{2000};
+    static constexpr base::duration default_contact_limit{5000};
 
-    // `share_lifetime` is how long a share is in force without a newer one.
+    // `share_lifetime` is how long a share is in force without a newer one. A VM that has
+    // not heard the leader for `contact_limit` is out of touch.
     explicit version_rules(std::string own_name,
-                           base::duration share_lifetime = version_share::max_lifetime)
+                           base::duration share_lifetime = version_share::max_lifetime,
+                           base::duration contact_limit = default_contact_limit)
         : own_name_(std::move(own_name))
         , share_lifetime_(share_lifetime)
+        , contact_limit_(contact_limit)
     {}
 
     // Sets the newest roll-out of each service, by the state of `index`.
@@ -50,6 +54,11 @@
     // Returns true if targets of this version may get requests at all now.
     [[nodiscard]] bool is_allowed(const base::service_id& service,
                                   const std::string& version, base::instant now) const;
+    // Returns true if targets of the ordered version may replace those of other versions
+    // that have failed: this VM is out of touch, so that the roll-out may have completed
+    // and the old targets stopped. The bounds of roll-outs hold for VMs in touch.
+    [[nodiscard]] bool is_substitute(const base::service_id& service,
+                                     const std::string& version, base::instant now) const;
     // Returns the version of the service's running roll-out; null if none runs.
     [[nodiscard]] const std::string*
     running_version(const base::service_id& service) const;
@@ -95,6 +104,9 @@
 
     std::string own_name_;
     base::duration share_lifetime_;
+    base::duration contact_limit_;
+    // When the last answer of the leader was asked for.
+    base::instant heard_at_;
     std::map<base::service_id, service_rules> services_;
     base::log_index state_index_;
     std::map<base::service_id, listed_versions> listed_;
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -143,7 +143,8 @@
                    {settings_.zone, settings_.name, settings_.list_lag,
                     forwarding::version_share::lifetime_for(
                         settings_.rollback_limit,
-                        coreclient::core_links::max_report_delay)}),
+                        coreclient::core_links::max_report_delay),
+                    settings_.contact_limit}),
                forwarding::extra_send_budget({settings_.extra_ratio,
                                               settings_.extra_slack,
                                               settings_.extra_window}),
--- a/curranthoist/platform/node_settings.cpp
+++ b/curranthoist/platform/node_settings.cpp
@@ -257,6 +257,7 @@
     result.exposure_slack = values.number("bounds.exposure_slack", result.exposure_slack);
     result.rollback_limit =
         values.milliseconds("bounds.rollback_ms", result.rollback_limit);
+    result.contact_limit = values.milliseconds("bounds.contact_ms", result.contact_limit);
     values.throw_if_any();
     return result;
 }
--- a/curranthoist/platform/node_settings.hpp
+++ b/curranthoist/platform/node_settings.hpp
@@ -77,6 +77,8 @@
     double exposure_slack = 50.0;
     // From a bad version's fiftieth bad answer until no VM in touch sends it requests.
     base::duration rollback_limit{5000};
+    // Without the core for this time, a VM is out of touch.
+    base::duration contact_limit{5000};
 };
 
 // Reads the settings file whose path the platform leaves in the environment. Throws
--- a/curranthoist/platform/node_settings_test.cpp
+++ b/curranthoist/platform/node_settings_test.cpp
@@ -19,6 +19,7 @@
                            "bounds.retry_budget_ratio=0.2\n"
                            "bounds.grace_period_s=6\n"
                            "bounds.rollback_ms=2500\n"
+                           "bounds.contact_ms=4500\n"
                            "cloud_api.duties=\n"
                            "a.field.of.tomorrow=x\n";
 
@@ -47,6 +48,7 @@
     EXPECT_TRUE(settings.founds_deployment);
     EXPECT_EQ(settings.stop_limit, base::duration(6000));
     EXPECT_EQ(settings.rollback_limit, base::duration(2500));
+    EXPECT_EQ(settings.contact_limit, base::duration(4500));
     EXPECT_DOUBLE_EQ(settings.extra_ratio, 0.2);
 }
 
