--- a/curranthoist/forwarding/target_directory_test.cpp
+++ b/curranthoist/forwarding/target_directory_test.cpp
@@ -577,6 +577,25 @@
     EXPECT_EQ(chosen("b"), "a");
 }
 
+// Guards against a service that a VM out of touch refuses because the roll-out completed
+// unheard and the old targets stopped, and against new targets used any earlier.
+TEST_F(rollout_directory_test, an_unheard_completion_leaves_the_new_targets)
+{
+    set_share(0.5);
+    advance(version_rules::default_contact_limit.count() + 1);
+    EXPECT_EQ(chosen(), "a");
+    EXPECT_FALSE(directory_.is_usable(base::target_id("b"), now_));
+    send_and_respond("a", response_kind::unreachable);
+    set_share(0.0);
+    advance(version_rules::default_contact_limit.count());
+    EXPECT_EQ(chosen(), "");
+    advance(1);
+    EXPECT_EQ(chosen(), "b");
+    EXPECT_TRUE(directory_.is_usable(base::target_id("b"), now_));
+    set_share(0.0);
+    EXPECT_EQ(chosen(), "");
+}
+
 // Guards against requests to new targets that are listed before their order is known.
 TEST_F(rollout_directory_test, a_joining_version_waits_for_the_state_of_its_reading)
 {
@@ -604,6 +623,19 @@
     EXPECT_EQ(chosen("a"), "b");
 }
 
+// Guards against targets that wait for an order in a deployment without roll-outs.
+TEST_F(rollout_directory_test, without_rollouts_a_joining_version_is_used_at_once)
+{
+    target_directory::options options;
+    options.holds_joining_versions = false;
+    directory_ = target_directory(options);
+    auto old_target = target("a");
+    old_target.version = "v1";
+    directory_.apply({.targets = {old_target}, .read_at = now_});
+    list_new_target(base::log_index(6));
+    EXPECT_EQ(chosen("a"), "b");
+}
+
 // Guards against a service without usable targets when the first reading names two
 // versions, or when all targets are replaced by those of another version at once.
 TEST_F(rollout_directory_test, established_versions_are_used_at_once)
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -19,6 +19,8 @@
 // A configuration whose targets are cold waits for half of the time until which it must
 // be in force; the other half is for its way to this VM.
 constexpr std::int64_t configuration_wait_divisor = 2;
+// Of a deployment whose settings say nothing of roll-outs.
+constexpr base::duration default_rollback_limit{5000};
 // The load balancer asks once a second and believes the second miss; then it sends no new
 // connections.
 constexpr base::duration balancer_delay{2500};
@@ -44,6 +46,22 @@
             static_cast<std::uint16_t>(settings.first_internal_port + 1)};
 }
 
+forwarding::target_directory::options
+directory_options(const platform::node_settings& settings)
+{
+    forwarding::target_directory::options result;
+    result.own_zone = settings.zone;
+    result.own_name = settings.name;
+    result.list_lag = settings.list_lag;
+    result.share_lifetime = forwarding::version_share::lifetime_for(
+        settings.rollback_limit.value_or(default_rollback_limit),
+        coreclient::core_links::max_report_delay);
+    result.contact_limit = settings.contact_limit;
+    result.holds_joining_versions = settings.rollback_limit.has_value();
+    result.zone_cost = settings.zone_cost;
+    return result;
+}
+
 platform::node_settings checked(platform::node_settings settings)
 {
     base::findings found;
@@ -63,12 +81,7 @@
     : loop_(loop)
     , settings_(checked(std::move(settings)))
     , state_{{loop,
-              forwarding::target_directory({settings_.zone, settings_.name,
-                                            settings_.list_lag,
-                                            forwarding::version_share::lifetime_for(
-                                                settings_.rollback_limit,
-                                                coreclient::core_links::max_report_delay),
-                                            settings_.zone_cost}),
+              forwarding::target_directory(directory_options(settings_)),
               forwarding::extra_send_budget(
                   {settings_.extra_ratio, settings_.extra_slack, settings_.extra_window}),
               target_pool(
--- a/curranthoist/platform/node_settings.hpp
+++ b/curranthoist/platform/node_settings.hpp
@@ -77,8 +77,11 @@
     // number on top.
     double exposure_share = 0.1;
     double exposure_slack = 50.0;
-    // From a bad version's fiftieth bad answer until no VM in touch sends it requests.
-    base::duration rollback_limit{5000};
+    // From a bad version's fiftieth bad answer until no VM in touch sends it requests;
+    // nothing if the settings don't say it, which is so where no versions are rolled out.
+    std::optional<base::duration> rollback_limit;
+    // Without the core for this time, a VM is out of touch.
+    base::duration contact_limit{5000};
 };
 
 // Reads the settings file whose path the platform leaves in the environment. Throws
