--- a/curranthoist/forwarding/request_attempts.cpp
+++ b/curranthoist/forwarding/request_attempts.cpp
@@ -329,8 +329,11 @@
         finish(final_outcome::complete, actions);
     }
     else if (answered_shards_ >= required_shards_ &&
-             (open_shards_ == 0 || deadline_passed || now >= timing_.soft_deadline ||
-              ends_early(now))) {
+             (open_shards_ == 0 || deadline_passed || now >= timing_.soft_deadline)) {
+        finish(final_outcome::partial, actions);
+    }
+    else if (answered_shards_ >= required_shards_ && ends_early(now)) {
+        ended_early_ = true;
         finish(final_outcome::partial, actions);
     }
     else if (answered_shards_ + open_shards_ < required_shards_ || deadline_passed) {
--- a/curranthoist/forwarding/request_attempts.hpp
+++ b/curranthoist/forwarding/request_attempts.hpp
@@ -84,6 +84,8 @@
     std::vector<request_action> abandon();
 
     [[nodiscard]] bool finished() const { return finished_; }
+    // Returns true if a query ended before its soft deadline with shards still out.
+    [[nodiscard]] bool ended_early() const { return ended_early_; }
     // Returns the time at which on_time() must be called. A response that causes no
     // action makes this time earlier only by next_end_check().
     [[nodiscard]] base::instant next_deadline() const;
@@ -174,6 +176,7 @@
     bool recalled_ = false;
     base::instant next_end_check_ = base::instant::max();
     bool finished_ = false;
+    bool ended_early_ = false;
 };
 
 } // namespace curranthoist::forwarding
--- a/curranthoist/forwarding/request_attempts_test.cpp
+++ b/curranthoist/forwarding/request_attempts_test.cpp
@@ -171,6 +171,7 @@
     advance(1);
     ASSERT_TRUE(finish_);
     EXPECT_EQ(finish_->outcome, final_outcome::partial);
+    EXPECT_TRUE(attempts_->ended_early());
 }
 
 // Guards against a caller that waits for its deadline although no target can serve it in
--- a/curranthoist/frontd/request_record.cpp
+++ b/curranthoist/frontd/request_record.cpp
@@ -73,6 +73,17 @@
         " sends=" + std::to_string(sends.count()) + " hedges=" + std::to_string(hedges_) +
         " retries=" + std::to_string(retries_) +
         " missing=" + std::to_string(end.missing);
+    if (route.gathers()) {
+        line += " margin_ms=" +
+                std::to_string(context.margin.margin(route.objective).count());
+    }
+    if (request_.run->ended_early()) {
+        context.metrics
+            .counter_named("curranthoist_queries_ended_early_total",
+                           "Queries that ended before their deadline without some shards")
+            .add();
+        line += " early=true";
+    }
     if (!sends.groups().empty()) {
         line += " gatherers=" + std::to_string(sends.groups().size());
     }
