Log what decided the end of a roll-out

Cause: the line of an ended roll-out named the phase alone, so that nobody could tell why a version was rolled back. Change: the leader writes event=rollout_judged with the answers and bad answers of both versions and the evidence of the test, in hundredths, each time that it names a judgement. No test reads the line.

--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -7,6 +7,7 @@
 #include "curranthoist/platform/configuration_document.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <filesystem>
 #include <random>
 #include <utility>
@@ -45,6 +46,14 @@
     return folder;
 }
 
+constexpr double evidence_scale = 100.0;
+
+std::string counts_text(const std::string& prefix, const rollout_judge::counts& counts)
+{
+    return " " + prefix + "answers=" + std::to_string(counts.answers) + " " + prefix +
+           "bad=" + std::to_string(counts.bad);
+}
+
 std::string random_suffix()
 {
     std::random_device source;
@@ -230,6 +239,9 @@
             " version=" + one.order.target_version +
             (one.phase == deployment::rollout_phase::completed ? " phase=completed"
                                                                : " phase=rolled_back");
+        log_.info("event=rollout_judged " + what + counts_text("", one.ordered) +
+                  counts_text("old_", one.old) + " evidence_per_100=" +
+                  std::to_string(std::llround(one.evidence * evidence_scale)));
         host_.propose(deployment::deployment_state::end_rollout(one.order, one.phase),
                       [this, what](consensus::proposal_outcome outcome, base::log_index) {
                           const bool applied =
--- a/curranthoist/cored/rollout_judge.hpp
+++ b/curranthoist/cored/rollout_judge.hpp
@@ -41,6 +41,7 @@
     // The logarithm of the likelihood that the version is bad over that of a good one.
     [[nodiscard]] double evidence() const { return evidence_; }
     [[nodiscard]] counts ordered_total() const { return ordered_; }
+    [[nodiscard]] counts old_total() const { return old_; }
 
 private:
     [[nodiscard]] double usual_bad_share() const;
--- a/curranthoist/cored/rollout_judges.cpp
+++ b/curranthoist/cored/rollout_judges.cpp
@@ -77,7 +77,8 @@
             one.named_at == base::instant() || now - one.named_at >= decision_interval;
         if (one.judge.verdict() != deployment::rollout_phase::running && is_due) {
             one.named_at = now;
-            result.push_back({one.order, one.judge.verdict()});
+            result.push_back({one.order, one.judge.verdict(), one.judge.ordered_total(),
+                              one.judge.old_total(), one.judge.evidence()});
         }
     }
     return result;
--- a/curranthoist/cored/rollout_judges.hpp
+++ b/curranthoist/cored/rollout_judges.hpp
@@ -23,6 +23,10 @@
     {
         deployment::rollout order;
         deployment::rollout_phase phase = deployment::rollout_phase::running;
+        // What decided: the answers that this leader counted, and the test's evidence.
+        rollout_judge::counts ordered = {};
+        rollout_judge::counts old = {};
+        double evidence = 0.0;
     };
 
     // A decision that the state still lacks is named again after this time.
