--- a/curranthoist/cored/front_sessions_test.cpp
+++ b/curranthoist/cored/front_sessions_test.cpp
@@ -404,10 +404,10 @@
     EXPECT_TRUE(run_until(loop_, [&] {
         auto& [slow_successes, slow_ms] = slow.zones["slow"];
         slow_successes += 20;
-        slow_ms += 20 * 200;
+        slow_ms += 4'000;
         auto& [fast_successes, fast_ms] = fast.zones["fast"];
         fast_successes += 20;
-        fast_ms += 20 * 28;
+        fast_ms += 560;
         slow.report();
         fast.report();
         run_until(
