--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -407,7 +407,7 @@
 
 bool front_sessions::serves(const front_session& one, const core_view& view)
 {
-    if (live_fronts() <= most_direct_fronts || view.members.empty()) {
+    if (live_fronts() <= max_direct_fronts || view.members.empty()) {
         return view.leader;
     }
     // Members that disagree about it, while their number changes, leave a front to those
--- a/curranthoist/cored/front_sessions.hpp
+++ b/curranthoist/cored/front_sessions.hpp
@@ -58,7 +58,7 @@
     static constexpr base::duration follower_limit{1500};
     // Up to this many fronts the leader serves all of them: a follower learns of a commit
     // up to a heartbeat later. Beyond, its link would need seconds for each state.
-    static constexpr std::size_t most_direct_fronts = 100;
+    static constexpr std::size_t max_direct_fronts = 100;
     // The leader sends a state to a front of another member that has lacked it for this
     // time. Followers learn of a commit and send well within it.
     static constexpr base::duration leader_limit{800};
--- a/curranthoist/cored/front_sessions_test.cpp
+++ b/curranthoist/cored/front_sessions_test.cpp
@@ -320,7 +320,7 @@
 // the other members are idle; and against a front that no member serves.
 TEST_F(front_sessions_test, many_fronts_are_shared_among_the_members)
 {
-    constexpr std::size_t fronts = front_sessions::most_direct_fronts + 20;
+    constexpr std::size_t fronts = front_sessions::max_direct_fronts + 20;
     members_ = {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"};
     const auto all = open_fronts(fronts);
     std::vector<int> served(fronts, 0);
@@ -343,7 +343,7 @@
 // then.
 TEST_F(front_sessions_test, the_leader_serves_a_front_whose_member_does_not)
 {
-    constexpr std::size_t fronts = front_sessions::most_direct_fronts + 1;
+    constexpr std::size_t fronts = front_sessions::max_direct_fronts + 1;
     members_ = {"10.0.0.1:1", "10.0.0.2:1"};
     self_ = members_.front();
     const auto all = open_fronts(fronts);
--- a/curranthoist/cored/suspect_targets.cpp
+++ b/curranthoist/cored/suspect_targets.cpp
@@ -9,13 +9,13 @@
 constexpr double half_life_ms = 2000.0;
 // Several answers must agree: that many bad ones, and that part of all. A target that
 // pauses for 150 ms in 3.6 s is bad in one answer of twenty. Orders come once a second.
-constexpr double least_bad = 1.5;
-constexpr double least_bad_part = 0.5;
+constexpr double min_bad = 1.5;
+constexpr double min_bad_part = 0.5;
 // More evidence than this counts no further, or a suspect without requests would be tried
 // again too late: after two half-lives.
-constexpr double most_answers = 6.0;
+constexpr double max_answers = 6.0;
 // Evidence below this is forgotten.
-constexpr double least_answers = 0.1;
+constexpr double min_answers = 0.1;
 
 } // namespace
 
@@ -36,9 +36,9 @@
         of.age(now);
         of.answers += one.answers;
         of.bad += one.bad;
-        if (of.answers > most_answers) {
-            of.bad *= most_answers / of.answers;
-            of.answers = most_answers;
+        if (of.answers > max_answers) {
+            of.bad *= max_answers / of.answers;
+            of.answers = max_answers;
         }
     }
 }
@@ -49,11 +49,11 @@
     for (auto each = evidence_.begin(); each != evidence_.end();) {
         evidence& of = each->second;
         of.age(now);
-        if (of.answers < least_answers) {
+        if (of.answers < min_answers) {
             each = evidence_.erase(each);
             continue;
         }
-        if (of.bad >= least_bad && of.bad >= least_bad_part * of.answers) {
+        if (of.bad >= min_bad && of.bad >= min_bad_part * of.answers) {
             result.push_back(each->first);
         }
         ++each;
--- a/curranthoist/cored/team_accounts_test.cpp
+++ b/curranthoist/cored/team_accounts_test.cpp
@@ -56,7 +56,7 @@
         }
     }
     // The most that was admitted in any span of five seconds.
-    [[nodiscard]] std::size_t most_in_window() const
+    [[nodiscard]] std::size_t max_in_window() const
     {
         std::size_t most = 0;
         std::size_t first = 0;
@@ -110,7 +110,7 @@
         load.run(10, 10'000_ms);
         load.run(80, 10'000_ms);
         load.run(10, 10'000_ms);
-        EXPECT_LE(load.most_in_window(), load.allowed_in_window()) << vms;
+        EXPECT_LE(load.max_in_window(), load.allowed_in_window()) << vms;
         // What fits is admitted: 30 s at 10 or 17 a second.
         EXPECT_GT(load.admitted(), 330U) << vms;
     }
@@ -125,7 +125,7 @@
     load.run(30, 5000_ms);
     load.change_limit(3);
     load.run(30, 15'000_ms);
-    EXPECT_LE(load.most_in_window(), load.allowed_in_window());
+    EXPECT_LE(load.max_in_window(), load.allowed_in_window());
 }
 
 // Guards against VMs that are cut off from the core, each of which would admit the whole
--- a/curranthoist/http/caller_server.cpp
+++ b/curranthoist/http/caller_server.cpp
@@ -154,8 +154,8 @@
                              request_handler on_request)
     : loop_(loop)
     , options_(std::move(options))
-    , least_block_bytes_(connection_bytes(options_.max_header_bytes))
-    , wanted_block_bytes_(least_block_bytes_)
+    , min_block_bytes_(connection_bytes(options_.max_header_bytes))
+    , wanted_block_bytes_(min_block_bytes_)
     , request_memory_(std::make_shared<memory_account>(options_.max_request_memory))
     , response_memory_(options_.response_memory ? options_.response_memory
                                                 : std::make_shared<memory_account>(
@@ -254,8 +254,7 @@
 {
     options_.max_header_bytes = max_header_bytes;
     options_.max_body_bytes = max_body_bytes;
-    wanted_block_bytes_ =
-        std::max(least_block_bytes_, connection_bytes(max_header_bytes));
+    wanted_block_bytes_ = std::max(min_block_bytes_, connection_bytes(max_header_bytes));
     replace_daemon();
 }
 
--- a/curranthoist/http/caller_server.hpp
+++ b/curranthoist/http/caller_server.hpp
@@ -205,7 +205,7 @@
     ev::loop_ref loop_;
     caller_server_options options_;
     // The least memory of a connection, and that which the present limits need.
-    std::size_t least_block_bytes_;
+    std::size_t min_block_bytes_;
     std::size_t wanted_block_bytes_;
     // Of all connections that are not being closed.
     std::size_t held_block_bytes_ = 0;
--- a/curranthoist/http/internal/response_reader.cpp
+++ b/curranthoist/http/internal/response_reader.cpp
@@ -16,7 +16,7 @@
 constexpr unsigned first_final_status = 200;
 // A target that sends more responses to other requests than this is not to be trusted
 // with the own one.
-constexpr std::size_t most_skipped = 3;
+constexpr std::size_t max_skipped = 3;
 // Maximum size of the header lines and trailers of a response, each with its record.
 constexpr std::size_t max_header_bytes = std::size_t{64} * 1024;
 // The memory that a header takes besides its text: short ones without end would take
@@ -207,7 +207,7 @@
 
 bool response_reader::may_skip() const
 {
-    return call_.skips_other_responses && skipped_ < most_skipped &&
+    return call_.skips_other_responses && skipped_ < max_skipped &&
            !ends_with_connection_ && http_should_keep_alive(&parser_) != 0;
 }
 
--- a/curranthoist/http/internal/response_reader_test.cpp
+++ b/curranthoist/http/internal/response_reader_test.cpp
@@ -44,18 +44,19 @@
 // Guards against a head without end whose short lines take many times their bytes.
 TEST(response_reader_test, many_short_headers_are_refused)
 {
-    constexpr std::size_t most_headers = 600;
+    constexpr std::size_t max_headers_sent = 600;
     target_call call;
     call.accept_unframed = true;
     target_result result;
     response_reader reader(call, result);
     ASSERT_EQ(reader.read("HTTP/1.1 200 OK\r\n"), std::nullopt);
     std::size_t sent = 0;
-    while (sent <= most_headers && !reader.read("h" + std::to_string(sent) + ":\r\n")) {
+    while (sent <= max_headers_sent &&
+           !reader.read("h" + std::to_string(sent) + ":\r\n")) {
         ++sent;
     }
-    EXPECT_LT(sent, most_headers);
-    EXPECT_GT(sent, most_headers / 2);
+    EXPECT_LT(sent, max_headers_sent);
+    EXPECT_GT(sent, max_headers_sent / 2);
 }
 
 // Guards against a response that breaks off in its head and counts as whole, with an
