Name the options of the directory that a test sets

Options were added before zone_cost, so that the test set a lifetime of shares instead: target_directory_test.a_request_leaves_the_zone_only_if_it_would_wait_too_long failed after the parts were joined. Its checks are unchanged.

--- a/curranthoist/forwarding/target_directory_test.cpp
+++ b/curranthoist/forwarding/target_directory_test.cpp
@@ -183,8 +183,10 @@
 // against requests that stay although it is far slower.
 TEST_F(target_directory_test, a_request_leaves_the_zone_only_if_it_would_wait_too_long)
 {
-    target_directory directory{
-        {base::zone_id("near"), "vm-1", duration(800), duration(40)}};
+    target_directory directory{{.own_zone = base::zone_id("near"),
+                                .own_name = "vm-1",
+                                .list_lag = duration(800),
+                                .zone_cost = duration(40)}};
     directory.apply({.targets = {target("t1"), target("t2", "far")}, .read_at = now_});
     const auto chosen = [&] { return directory.choose(service, {}, now_)->id.str(); };
     // Two requests, each of 28 ms, are open there.
