Build the report of a team with clang, without narrowing conversions

The linter and clang refused it: a default member initializer that is needed inside its class, and thousandths that were divided without a conversion.

--- a/curranthoist/ctl/team_report.cpp
+++ b/curranthoist/ctl/team_report.cpp
@@ -25,6 +25,11 @@
         {"curranthoist_team_admitted_permille", &team_report::account::admitted_permille},
     }};
 
+double requests(std::int64_t milli)
+{
+    return static_cast<double>(milli) / thousandths;
+}
+
 // The value of a label; nothing if it is not there.
 std::optional<std::string_view> label(std::string_view labels, std::string_view name)
 {
@@ -84,7 +89,7 @@
                          [&](const auto& known) { return known.first == one->name; });
         if (found != account_names.end()) {
             if (!standing) {
-                standing.emplace();
+                standing = account();
             }
             (*standing).*(found->second) = one->value;
         }
@@ -93,9 +98,6 @@
 
 void print_team_text(std::ostream& out, const team_report& report)
 {
-    const auto requests = [](std::int64_t milli) {
-        return static_cast<double>(milli) / thousandths;
-    };
     out << "team " << report.team << "\n" << std::fixed << std::setprecision(1);
     if (report.standing) {
         const team_report::account& one = *report.standing;
@@ -117,10 +119,10 @@
     nlohmann::json result{{"team", report.team}, {"outcomes", report.outcomes}};
     if (report.standing) {
         const team_report::account& one = *report.standing;
-        result["account"] = {{"rate_per_s", one.limit_milli / thousandths},
-                             {"burst", one.burst_milli / thousandths},
-                             {"credit", one.credit_milli / thousandths},
-                             {"sends_per_s", one.demand_milli / thousandths},
+        result["account"] = {{"rate_per_s", requests(one.limit_milli)},
+                             {"burst", requests(one.burst_milli)},
+                             {"credit", requests(one.credit_milli)},
+                             {"sends_per_s", requests(one.demand_milli)},
                              {"admitted_permille", one.admitted_permille}};
     }
     return result;
