--- a/curranthoist/testing/fuzz/seeds.cpp
+++ b/curranthoist/testing/fuzz/seeds.cpp
@@ -362,46 +362,31 @@
 // Headers of callers with and without keys, and with what only the system may say.
 inputs team_header_inputs()
 {
-    return {bytes_of("Host:h
-Key:key-1
-Tenant:team-b
-"),
-            bytes_of("KEY:key-2
-tenant:team-a
-tEnAnT:x
-"),
-            bytes_of("Connection:Key, Tenant
-Key:key-3
-Tenant:y
-"),
-            bytes_of("Key:
-Tenant:
-X-Key:key-1
-"),
-            bytes_of("Key : key-1
- Tenant:z
-Key	:key-3
-")};
+    return {bytes_of("Host:h\nKey:key-1\nTenant:team-b\n"),
+            bytes_of("KEY:key-2\ntenant:team-a\ntEnAnT:x\n"),
+            bytes_of("Connection:Key, Tenant\nKey:key-3\nTenant:y\n"),
+            bytes_of("Key:\nTenant:\nX-Key:key-1\n"),
+            bytes_of("Key : key-1\n Tenant:z\nKey\t:key-3\n")};
 }
 
 // Pages with entries of another writer before, behind and between good ones.
 inputs target_page_inputs()
-    {
-        constexpr std::size_t nested = 2000;
-        const std::string good =
-            R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
-            R"("slots":2,"state":"ready","cold_remaining_ms":1500,"id":"i-1"})";
-        const auto page = [&good](const std::string& odd) {
-            return bytes_of(R"({"instances":[)" + good + "," + odd + "," + good +
-                            R"(],"next_page_token":"p-50"})");
-        };
-        return {page("7"),
-                page(std::string(nested, '[') + std::string(nested, ']')),
-                page(R"({"id":"i-2","slots":1e999,"address":"10.0.0.1:99999"})"),
-                page("\"\xFF\xFE\""),
-                page(R"({"id":"i-2)"),
-                bytes_of(R"({"next_page_token":null,"instances":[]})")};
-    }
+{
+    constexpr std::size_t nested = 2000;
+    const std::string good =
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
+        R"("slots":2,"state":"ready","cold_remaining_ms":1500,"id":"i-1"})";
+    const auto page = [&good](const std::string& odd) {
+        return bytes_of(R"({"instances":[)" + good + "," + odd + "," + good +
+                        R"(],"next_page_token":"p-50"})");
+    };
+    return {page("7"),
+            page(std::string(nested, '[') + std::string(nested, ']')),
+            page(R"({"id":"i-2","slots":1e999,"address":"10.0.0.1:99999"})"),
+            page("\"\xFF\xFE\""),
+            page(R"({"id":"i-2)"),
+            bytes_of(R"({"next_page_token":null,"instances":[]})")};
+}
 
 } // namespace
 
