Probe an address that no other test uses

Ports are per address, so a server of another test that runs beside it may have the same number at 127.0.0.1, or the probe's own port may be that number and connect to itself. The probe now goes to 127.0.0.3, from which and to which no test connects; a server that listened on all addresses would still accept it there.

--- a/curranthoist/http/caller_server_test.cpp
+++ b/curranthoist/http/caller_server_test.cpp
@@ -626,7 +626,9 @@
     options_.listen = {"127.0.0.2", 0};
     start();
     EXPECT_TRUE(raw_peer(server_->local()).connected());
-    EXPECT_FALSE(raw_peer({"127.0.0.1", server_->local().port}).connected());
+    // No test listens on or connects from this address. At 127.0.0.1 a server of another
+    // test may have the same port.
+    EXPECT_FALSE(raw_peer({"127.0.0.3", server_->local().port}).connected());
 }
 
 TEST_F(caller_server_test, a_truncated_response_announces_its_whole_length)
