Keep all limits of a front together below its memory

Each limit of the front held alone. Several crowds at once took more than the VM has: crowds_at_once_test, on the code before this change, failed at all four sizes with peaks of 206 MB (64 MB VM), 402 (112), 362 (160) and 409 (260), in MB of 10^6 bytes; ordinary requests were answered.

The cause: the shares were all of the memory without the program's own part, and queries held more than was counted. A send counted 4 KiB although it has two copies of the head, a shard's answer of up to 16 KiB was kept whole and not counted, and buffers took twice what was counted.

Now a send counts with its copies of the head, an answer of a shard is reduced to its greatest records at once, responses count by the capacity of their buffers, and connections with what they may hold besides their block.

The crowds of a test now settle together, so greedy_callers::wait_until_settled takes all of them; the former tests use the same function for one.

--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -84,10 +84,7 @@
               forwarding::target_directory(directory_options(settings_)),
               forwarding::extra_send_budget(
                   {settings_.extra_ratio, settings_.extra_slack, settings_.extra_window}),
-              target_pool(
-                  loop,
-                  std::make_shared<http::memory_account>(response_memory(settings_)),
-                  descriptor_share(settings_)),
+              target_pool(loop, response_account(settings_), descriptor_share(settings_)),
               base::random_source(std::random_device()()),
               {},
               base::logger("request"),
--- a/curranthoist/frontd/gather_server.cpp
+++ b/curranthoist/frontd/gather_server.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/frontd/gather_server.hpp"
 
 #include "curranthoist/frontd/gather_task.hpp"
+#include "curranthoist/frontd/kept_records.hpp"
 #include "curranthoist/frontd/send_memory.hpp"
 #include "curranthoist/frontd/task_context.hpp"
 
@@ -57,9 +58,16 @@
 {
     const std::size_t count =
         request.services() == nullptr ? 0 : request.services()->size();
+    const auto bytes_of = [](const auto* field) -> std::size_t {
+        return field == nullptr ? 0 : field->size();
+    };
     // Its body is held until its last send has ended.
-    const std::size_t body_bytes = request.body() == nullptr ? 0 : request.body()->size();
-    auto place = context_.open_requests.take(count + body_bytes / bytes_for_send);
+    auto place = context_.open_requests.take(counted_sends(
+        {.sends = count,
+         .head_bytes = bytes_of(request.attempt()) + bytes_of(request.method()) +
+                       bytes_of(request.target()) + bytes_of(request.header_lines()),
+         .kept_answer_bytes = kept_answer_bytes(request.top_records()),
+         .body_bytes = bytes_of(request.body())}));
     if (stopping_ || !place || !context_.configuration ||
         !context_.directory.has_listing()) {
         wire::gather_report_message refusal;
--- a/curranthoist/frontd/gather_task.cpp
+++ b/curranthoist/frontd/gather_task.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/frontd/gather_task.hpp"
 
 #include "curranthoist/forwarding/record_merge.hpp"
+#include "curranthoist/frontd/kept_records.hpp"
 #include "curranthoist/frontd/task_context.hpp"
 
 #include <algorithm>
@@ -135,6 +136,7 @@
     context_.zone_answers.add(one.zone, one.kind, took, latency_.usual());
     if (one.kind == response_kind::success) {
         latency_.add(took);
+        keep_greatest_records(one.response, top_records_);
     }
     else {
         context_.log.info("event=answer_rejected id=" + request_.attempt.str() +
--- a/curranthoist/frontd/process_limits.hpp
+++ b/curranthoist/frontd/process_limits.hpp
@@ -24,9 +24,9 @@
 // The descriptors that callers' connections may take, and those to targets.
 [[nodiscard]] std::size_t descriptor_share(const platform::node_settings& settings);
 
-// The memory that the bodies of targets' responses may fill; their buffers may take twice
-// as much.
-[[nodiscard]] std::size_t response_memory(const platform::node_settings& settings);
+// The memory that the bodies of targets' responses may take.
+[[nodiscard]] std::shared_ptr<http::memory_account>
+response_account(const platform::node_settings& settings);
 
 // The settings must have the address for callers.
 [[nodiscard]] http::caller_server_options
@@ -43,4 +43,9 @@
 [[nodiscard]] wire::peer_account::limits
 gather_port_limits(const platform::node_settings& settings);
 
+// All that callers, targets and other processes can make the process hold at once, with
+// the operators' default limits. What is left of its memory is for the program itself,
+// the configuration and the lists.
+[[nodiscard]] std::size_t max_held_bytes(const platform::node_settings& settings);
+
 } // namespace curranthoist::frontd
--- a/curranthoist/frontd/request_admission.cpp
+++ b/curranthoist/frontd/request_admission.cpp
@@ -1,6 +1,8 @@
 #include "curranthoist/frontd/request_admission.hpp"
 
 #include "curranthoist/frontd/front_state.hpp"
+#include "curranthoist/frontd/kept_records.hpp"
+#include "curranthoist/frontd/send_memory.hpp"
 #include "curranthoist/http/status.hpp"
 
 #include <algorithm>
@@ -20,6 +22,14 @@
 // leader has another one within about a second.
 constexpr base::duration key_retry_after{500};
 
+std::size_t counted_sends_of(const platform::inbound_request& request,
+                             const deployment::route& route)
+{
+    return counted_sends({.sends = route.send_count(),
+                          .head_bytes = request.head_bytes(),
+                          .kept_answer_bytes = kept_answer_bytes(route.top_records)});
+}
+
 } // namespace
 
 request_admission::request_admission(front_state& state,
@@ -52,10 +62,15 @@
             platform::own_response(http::status::not_found, "no route", std::nullopt));
         return std::nullopt;
     }
-    if (!admit_team(request, *route, answer) || !share_room(request, *route, answer)) {
+    if (!admit_team(request, *route, answer)) {
         return std::nullopt;
     }
-    auto place = state_.context.open_requests.take(route->send_count());
+    // After the team's header lines are set.
+    const std::size_t sends = counted_sends_of(request, *route);
+    if (!share_room(request, *route, sends, answer)) {
+        return std::nullopt;
+    }
+    auto place = state_.context.open_requests.take(sends);
     if (!place) {
         refuse(request, answer, "too many requests are open", full_retry_after);
         return std::nullopt;
@@ -114,14 +129,14 @@
 }
 
 bool request_admission::share_room(const platform::inbound_request& request,
-                                   const deployment::route& route,
+                                   const deployment::route& route, std::size_t sends,
                                    const http::responder& answer)
 {
     using verdict = forwarding::team_shares::verdict;
     task_context& context = state_.context;
     const verdict found = context.shares.decide(
         request.team, {request.priority.value_or(0), route.priority},
-        context.open_requests.room_for(route.send_count()), clock_.now());
+        context.open_requests.room_for(sends), clock_.now());
     if (found == verdict::admitted) {
         return true;
     }
--- a/curranthoist/frontd/request_admission.hpp
+++ b/curranthoist/frontd/request_admission.hpp
@@ -55,7 +55,8 @@
     // Decides whether the request's team gets a place now. Refuses the request and
     // returns false if not.
     bool share_room(const platform::inbound_request& request,
-                    const deployment::route& route, const http::responder& answer);
+                    const deployment::route& route, std::size_t sends,
+                    const http::responder& answer);
     void count_team(const std::string& team, const char* outcome);
 
     front_state& state_;
--- a/curranthoist/frontd/request_sends_test.cpp
+++ b/curranthoist/frontd/request_sends_test.cpp
@@ -1,7 +1,9 @@
+#include "curranthoist/frontd/kept_records.hpp"
 #include "curranthoist/frontd/request_sends.hpp"
 
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -52,5 +54,23 @@
     EXPECT_EQ(answer.body, record('c') + record('b'));
 }
 
+// Guards against queries that hold whole answers while they wait for their last shard.
+TEST(request_sends_test, an_answer_is_reduced_to_its_greatest_records)
+{
+    constexpr std::size_t many = 1000;
+    const auto memory = std::make_shared<http::memory_account>(many * 16);
+    platform::target_response answer;
+    answer.content.held_memory =
+        std::make_shared<http::memory_account::reservation>(memory);
+    ASSERT_TRUE(answer.content.held_memory->grow(many * 16));
+    for (std::size_t i = 0; i < many; ++i) {
+        answer.content.body += record(static_cast<char>('a' + i % 20));
+    }
+    keep_greatest_records(answer, 2);
+    EXPECT_EQ(answer.content.body, record('t') + record('t'));
+    EXPECT_LT(answer.content.body.capacity(), 100U);
+    EXPECT_EQ(memory->used(), 0U);
+}
+
 } // namespace
 } // namespace curranthoist::frontd
--- a/curranthoist/frontd/target_sends.cpp
+++ b/curranthoist/frontd/target_sends.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/frontd/target_sends.hpp"
 
 #include "curranthoist/frontd/caller_request.hpp"
+#include "curranthoist/frontd/kept_records.hpp"
 #include "curranthoist/frontd/task_context.hpp"
 
 #include <algorithm>
@@ -63,6 +64,9 @@
                           now);
     if (kind == forwarding::response_kind::success) {
         request_.latency.add(took);
+        if (request_.route.gathers()) {
+            keep_greatest_records(*sent.response, request_.route.top_records);
+        }
     }
     else {
         context.log.info("event=answer_rejected id=" + request_.inbound.attempt.str() +
--- a/curranthoist/http/caller_server.cpp
+++ b/curranthoist/http/caller_server.cpp
@@ -6,6 +6,7 @@
 #include "curranthoist/http/internal/header_names.hpp"
 #include "curranthoist/http/internal/http_daemon.hpp"
 #include "curranthoist/http/internal/listening_socket.hpp"
+#include "curranthoist/http/internal/reserve_exactly.hpp"
 #include "curranthoist/http/internal/response_body.hpp"
 #include "curranthoist/http/internal/response_builder.hpp"
 
@@ -48,6 +49,8 @@
 }
 // Bodies up to this size are not counted.
 constexpr std::size_t min_counted_body_bytes = std::size_t{4} * 1024;
+// What a connection may hold besides its block: such a body and a small response.
+constexpr std::size_t uncounted_bytes = min_counted_body_bytes + small_content_bytes;
 constexpr double limit_check_s = 1.0;
 constexpr double replacement_check_s = 0.1;
 
@@ -154,7 +157,7 @@
                              request_handler on_request)
     : loop_(loop)
     , options_(std::move(options))
-    , min_block_bytes_(connection_bytes(options_.max_header_bytes))
+    , min_block_bytes_(connection_memory::block_bytes(options_.max_header_bytes))
     , wanted_block_bytes_(min_block_bytes_)
     , request_memory_(std::make_shared<memory_account>(options_.max_request_memory))
     , response_memory_(options_.response_memory ? options_.response_memory
@@ -227,8 +230,9 @@
     if (options_.max_connection_memory == 0) {
         return options_.max_connections;
     }
-    return std::clamp<std::size_t>(options_.max_connection_memory / block_bytes, 1,
-                                   options_.max_connections);
+    return std::clamp<std::size_t>(options_.max_connection_memory /
+                                       (block_bytes + uncounted_bytes),
+                                   1, options_.max_connections);
 }
 
 std::size_t caller_server::max_connections() const
@@ -239,14 +243,16 @@
 bool caller_server::has_room(std::size_t block_bytes) const
 {
     const std::size_t held = connections_.size() - closing_;
+    const std::size_t bytes =
+        held_block_bytes_ + block_bytes + (held + 1) * uncounted_bytes;
     return held < connections_with(block_bytes) &&
            (held == 0 || options_.max_connection_memory == 0 ||
-            held_block_bytes_ + block_bytes <= options_.max_connection_memory);
+            bytes <= options_.max_connection_memory);
 }
 
 std::size_t caller_server::connection_bytes(std::size_t max_header_bytes)
 {
-    return connection_memory::block_bytes(max_header_bytes);
+    return connection_memory::block_bytes(max_header_bytes) + uncounted_bytes;
 }
 
 void caller_server::set_request_limits(std::size_t max_header_bytes,
@@ -254,7 +260,8 @@
 {
     options_.max_header_bytes = max_header_bytes;
     options_.max_body_bytes = max_body_bytes;
-    wanted_block_bytes_ = std::max(min_block_bytes_, connection_bytes(max_header_bytes));
+    wanted_block_bytes_ =
+        std::max(min_block_bytes_, connection_memory::block_bytes(max_header_bytes));
     replace_daemon();
 }
 
@@ -696,7 +703,7 @@
             return false;
         }
     }
-    body.reserve(capacity);
+    internal::reserve_exactly(body, capacity);
     return true;
 }
 
@@ -742,7 +749,7 @@
 MHD_Result caller_server::queue_own_response(exchange& current)
 {
     caller_response& answer = *current.response;
-    if (answer.body.size() <= uncounted_body_bytes || answer.break_after) {
+    if (answer.body.size() <= small_content_bytes || answer.break_after) {
         return queue_response(current.connection(), answer);
     }
     auto body = std::make_shared<internal::response_body>();
--- a/curranthoist/http/caller_server.hpp
+++ b/curranthoist/http/caller_server.hpp
@@ -66,7 +66,7 @@
     caller_server(const caller_server&) = delete;
     caller_server& operator=(const caller_server&) = delete;
 
-    // The memory that one connection takes from its first request on, if the server is
+    // The memory that one connection may take besides counted bodies, if the server is
     // made for heads of `max_header_bytes`.
     [[nodiscard]] static std::size_t connection_bytes(std::size_t max_header_bytes);
 
--- a/curranthoist/http/internal/response_reader.cpp
+++ b/curranthoist/http/internal/response_reader.cpp
@@ -1,7 +1,9 @@
 #include "curranthoist/http/internal/response_reader.hpp"
 
+#include "curranthoist/http/internal/reserve_exactly.hpp"
 #include "curranthoist/http/status.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <limits>
@@ -147,11 +149,22 @@
 {
     const std::size_t total = result_.body.size() + size;
     too_large_ = total > call_.max_body_bytes;
-    if (!too_large_ && memory_ && total > uncounted_body_bytes) {
+    if (too_large_ || total <= result_.body.capacity()) {
+        return !too_large_;
+    }
+    // An announced length alone makes the process allocate nothing.
+    const std::size_t longest =
+        std::min(announced_bytes_.value_or(call_.max_body_bytes), call_.max_body_bytes);
+    const std::size_t capacity =
+        std::max(total, std::min(longest, result_.body.capacity() * 2));
+    if (memory_) {
         if (!result_.held_memory) {
             result_.held_memory = std::make_shared<memory_account::reservation>(memory_);
         }
-        too_large_ = !result_.held_memory->grow(total);
+        too_large_ = !result_.held_memory->grow(capacity);
+    }
+    if (!too_large_) {
+        reserve_exactly(result_.body, capacity);
     }
     return !too_large_;
 }
@@ -197,6 +210,9 @@
         (parser->flags & F_CHUNKED) != 0 ||
         parser->content_length != std::numeric_limits<std::uint64_t>::max();
     self.ends_with_connection_ = !bodiless && !has_length;
+    self.announced_bytes_ = has_length && (parser->flags & F_CHUNKED) == 0
+                                ? std::optional<std::size_t>(parser->content_length)
+                                : std::nullopt;
     self.skipping_ = self.names_another_request();
     self.mismatched_ = (self.skipping_ && !self.may_skip()) || self.lacks_required_id();
     if (self.mismatched_) {
--- a/curranthoist/http/internal/response_reader.hpp
+++ b/curranthoist/http/internal/response_reader.hpp
@@ -68,6 +68,8 @@
     // Bytes read so far, and those of them in header lines and trailers.
     std::size_t received_bytes_ = 0;
     std::size_t header_bytes_ = 0;
+    // Of the body, if the head says it.
+    std::optional<std::size_t> announced_bytes_;
     std::string field_;
     std::string value_;
     bool in_value_ = false;
--- a/curranthoist/http/memory_account.hpp
+++ b/curranthoist/http/memory_account.hpp
@@ -7,14 +7,18 @@
 
 namespace curranthoist::http {
 
+// Content of up to this size is small.
+inline constexpr std::size_t small_content_bytes = std::size_t{16} * 1024;
+
 // Limits the bytes that one kind of content holds together in a process: bodies of
 // callers' requests, or responses until their callers have them. Load pattern: many
 // callers or targets at once send what is legal for one of them, or leave unread what
 // they asked for.
 //
 // Each piece of content has a reservation and grows it before it takes memory. What does
-// not fit may make the owner give up other content, which on_shortage() chooses. Buffers
-// grow by doubling and may take twice what they hold.
+// not fit may make the owner give up other content, which on_shortage() chooses. A
+// reserve beside the capacity takes small content only, so that those who send little are
+// served while others use up the account.
 //
 //     auto account = std::make_shared<memory_account>(20'000'000);
 //     memory_account::reservation held(account);
@@ -26,8 +30,9 @@
     // reservations, but not the one that grows.
     using shortage_handler = std::function<bool()>;
 
-    explicit memory_account(std::size_t capacity)
+    explicit memory_account(std::size_t capacity, std::size_t small_reserve = 0)
         : capacity_(capacity)
+        , small_reserve_(small_reserve)
     {}
 
     void on_shortage(shortage_handler handler) { shortage_ = std::move(handler); }
@@ -51,9 +56,11 @@
                 return true;
             }
             const std::size_t more = bytes - bytes_;
-            while (account_->used_ + more > account_->capacity_) {
-                if (more > account_->capacity_ || !account_->shortage_ ||
-                    !account_->shortage_()) {
+            const std::size_t limit =
+                account_->capacity_ +
+                (bytes <= small_content_bytes ? account_->small_reserve_ : 0);
+            while (account_->used_ + more > limit) {
+                if (more > limit || !account_->shortage_ || !account_->shortage_()) {
                     ++account_->refusals_;
                     return false;
                 }
@@ -76,13 +83,10 @@
 
 private:
     std::size_t capacity_;
+    std::size_t small_reserve_;
     std::size_t used_ = 0;
     std::size_t refusals_ = 0;
     shortage_handler shortage_;
 };
 
-// A response holds this many bytes without being counted, so that those of sound targets
-// are accepted while others use up the account.
-inline constexpr std::size_t uncounted_body_bytes = std::size_t{16} * 1024;
-
 } // namespace curranthoist::http
--- a/curranthoist/platform/caller_exchange.hpp
+++ b/curranthoist/platform/caller_exchange.hpp
@@ -30,8 +30,10 @@
     // Path and query as the caller sent them, not decoded.
     std::string target;
     // The lines of the headers that go on to every target unchanged: without those that
-    // concern one connection only, and without the attempt's name and the deadline.
-    std::shared_ptr<const std::string> header_lines;
+    // concern one connection only, and without the attempt's name and the deadline. Never
+    // null.
+    std::shared_ptr<const std::string> header_lines =
+        std::make_shared<const std::string>();
     // The caller's key; empty if it sent none. Not among the header lines.
     std::string key;
     // The lines of the headers for key and team as they were sent.
@@ -43,6 +45,13 @@
     std::shared_ptr<const std::string> body = std::make_shared<const std::string>();
     // The caller made a connection for it, and began to wait before that.
     bool connection_was_new = false;
+
+    // The bytes of it that each send repeats, besides the body.
+    [[nodiscard]] std::size_t head_bytes() const
+    {
+        return attempt.str().size() + method.size() + target.size() +
+               header_lines->size();
+    }
 };
 
 // One target's response.
--- a/curranthoist/testing/greedy_callers.cpp
+++ b/curranthoist/testing/greedy_callers.cpp
@@ -32,14 +32,18 @@
     thread_.join();
 }
 
-void greedy_callers::wait_until_settled() const
+void greedy_callers::wait_until_settled(
+    std::span<const std::unique_ptr<greedy_callers>> crowds)
 {
     constexpr std::chrono::milliseconds quiet{1000};
     constexpr int max_waits = 20;
     std::size_t before = 0;
     for (int i = 0; i < max_waits; ++i) {
         std::this_thread::sleep_for(quiet);
-        const std::size_t now = sent_bytes_;
+        std::size_t now = 0;
+        for (const auto& one : crowds) {
+            now += one->sent_bytes();
+        }
         if (now == before && now > 0) {
             return;
         }
--- a/curranthoist/testing/greedy_callers.hpp
+++ b/curranthoist/testing/greedy_callers.hpp
@@ -5,6 +5,8 @@
 
 #include <atomic>
 #include <cstddef>
+#include <memory>
+#include <span>
 #include <string>
 #include <thread>
 
@@ -27,8 +29,10 @@
 // Clients that send what the plan says on many connections, read nothing and stay. They
 // run on a thread of their own until they go away:
 //
-//     greedy_callers crowd({.server = front, .connections = 300, .bytes = request});
-//     crowd.wait_until_settled();
+//     std::vector<std::unique_ptr<greedy_callers>> crowds;
+//     crowds.push_back(std::make_unique<greedy_callers>(
+//         greedy_plan{.server = front, .connections = 300, .bytes = request}));
+//     greedy_callers::wait_until_settled(crowds);
 //     ...                              // what ordinary callers get beside them
 class greedy_callers
 {
@@ -39,8 +43,10 @@
     greedy_callers(const greedy_callers&) = delete;
     greedy_callers& operator=(const greedy_callers&) = delete;
 
-    // Returns once the server has taken no byte for a second, after 20 s at the latest.
-    void wait_until_settled() const;
+    // Returns once no byte of any of the crowds was taken for a second, after 20 s at the
+    // latest.
+    static void
+    wait_until_settled(std::span<const std::unique_ptr<greedy_callers>> crowds);
     [[nodiscard]] std::size_t opened() const { return opened_; }
     [[nodiscard]] std::size_t sent_bytes() const { return sent_bytes_; }
 
--- a/curranthoist/testing/platform/greedy_callers_test.cpp
+++ b/curranthoist/testing/platform/greedy_callers_test.cpp
@@ -17,9 +17,8 @@
 namespace curranthoist::testing {
 namespace {
 
-constexpr std::size_t memory_mb = 64;
-[[maybe_unused]] constexpr std::size_t max_memory_bytes = memory_mb * 1024 * 1024;
-constexpr std::size_t max_descriptors = 600;
+constexpr std::size_t small_memory_mb = 64;
+constexpr std::size_t few_descriptors = 600;
 constexpr std::size_t body_bytes = 262'144;
 constexpr std::size_t crowd_size = 300;
 // Callers come back after they were refused or closed.
@@ -89,7 +88,10 @@
 class greedy_callers_test : public platform_fixture
 {
 protected:
-    greedy_callers_test()
+    explicit greedy_callers_test(std::size_t memory_mb = small_memory_mb,
+                                 std::size_t max_descriptors = few_descriptors)
+        : max_memory_bytes_(memory_mb * 1024 * 1024)
+        , max_descriptors_(max_descriptors)
     {
         more_settings_ =
             "limits.memory_mb=" + std::to_string(memory_mb) +
@@ -112,22 +114,33 @@
         });
     }
 
-    static void expect_within_bounds(child_process& process)
+    void expect_within_bounds(child_process& process) const
     {
         ASSERT_TRUE(process.is_running());
-        EXPECT_LT(open_descriptors(process.id()), max_descriptors);
+        EXPECT_LT(open_descriptors(process.id()), max_descriptors_);
+        const std::size_t peak_bytes = peak_memory_bytes(process.id());
+        RecordProperty("peak_bytes", std::to_string(peak_bytes));
 #if !defined(CURRANTHOIST_SANITIZED)
         // The sanitizer keeps what was freed, and a shadow of all memory.
-        EXPECT_LT(peak_memory_bytes(process.id()), max_memory_bytes);
+        EXPECT_LT(peak_bytes, max_memory_bytes_);
 #endif
     }
 
     // Lets the callers do their worst, and checks what must hold meanwhile and then.
     void press(const greedy_plan& plan, child_process& process)
+    {
+        press_at_once({plan}, process);
+    }
+
+    // The same for several crowds together.
+    void press_at_once(const std::vector<greedy_plan>& plans, child_process& process)
     {
         {
-            const greedy_callers crowd(plan);
-            crowd.wait_until_settled();
+            std::vector<std::unique_ptr<greedy_callers>> crowds;
+            for (const greedy_plan& plan : plans) {
+                crowds.push_back(std::make_unique<greedy_callers>(plan));
+            }
+            greedy_callers::wait_until_settled(crowds);
             EXPECT_TRUE(answers_an_ordinary_caller());
             expect_within_bounds(process);
         }
@@ -170,10 +183,87 @@
         return {vms_[0], callers_port};
     }
 
+    // Adds a service to the configuration, with one target that does not work on what it
+    // gets, but answers after `work` with so many bytes.
+    void add_service(nlohmann::json& wanted, const std::string& name, std::uint16_t port,
+                     base::duration work, std::size_t answer_bytes)
+    {
+        platform_->add({.id = name + "-a",
+                        .service = name,
+                        .address = {new_address(), port},
+                        .work = work,
+                        .answer_bytes = answer_bytes});
+        nlohmann::json service = wanted["services"][0];
+        service["name"] = name;
+        wanted["services"].push_back(service);
+    }
+
 private:
+    std::size_t max_memory_bytes_;
+    std::size_t max_descriptors_;
     unsigned asked_ = 0;
 };
 
+// The memory in MB that a process has on VMs of several sizes, with the descriptors that
+// the platform allows there.
+class crowds_at_once_test : public greedy_callers_test,
+                            public ::testing::WithParamInterface<std::size_t>
+{
+protected:
+    static constexpr std::size_t platform_descriptors = 4100;
+
+    crowds_at_once_test()
+        : greedy_callers_test(GetParam(), platform_descriptors)
+    {}
+
+    // Queries go to many shards of which every second one does not answer, while the
+    // answers of the others stay just below the size from which on they are counted.
+    void add_slow_shards(nlohmann::json& wanted)
+    {
+        constexpr std::size_t shard_count = 80;
+        constexpr std::size_t answer_bytes = 15'000;
+        constexpr std::uint16_t port = 9500;
+        nlohmann::json shards = nlohmann::json::array();
+        for (std::size_t i = 0; i < shard_count; ++i) {
+            const std::string name = "shard" + std::to_string(i);
+            add_service(wanted, name, port, {}, answer_bytes);
+            shards.push_back(name);
+            if (i % 2 == 0) {
+                platform_->set_behaviour(name + "-a", target_behaviour::hangs);
+            }
+        }
+        wanted["routes"][0]["shard_services"] = shards;
+        wanted["routes"][0]["min_shard_share"] = 0.95;
+    }
+
+    // All that callers and other processes can make a front hold.
+    std::vector<greedy_plan> every_crowd() const
+    {
+        constexpr std::size_t frame_bytes = std::size_t{1024} * 1024;
+        const std::string long_path = "/q/1?x=" + std::string(14'000, 'x');
+        const std::vector<std::string> sent{
+            head("POST", "/o/1", "short", body_bytes) + std::string(body_bytes - 10, 'b'),
+            head("POST", "/o/1", "whole", body_bytes) + std::string(body_bytes, 'b'),
+            requests_ahead("/a/1", 10),
+            requests_ahead(long_path, 20),
+            "GET /l/1 HTTP/1.1\r\nHost: h.example\r\nX: " +
+                std::string(std::size_t{15} * 1024, 'x'),
+        };
+        std::vector<greedy_plan> result;
+        for (const std::string& bytes : sent) {
+            result.push_back({.server = front(),
+                              .connections = crowd_size,
+                              .bytes = bytes,
+                              .max_opened = max_opened});
+        }
+        result.push_back({.server = gatherer(),
+                          .connections = crowd_size,
+                          .bytes = hello_frame() + short_frame(frame_bytes),
+                          .max_opened = max_opened});
+        return result;
+    }
+};
+
 // Guards against bodies of legal size that stop just short of their end, each of which
 // holds its memory for as long as its caller likes.
 TEST_F(greedy_callers_test, bodies_that_stop_short_of_their_end)
@@ -393,5 +483,31 @@
           *fronts_[0]);
 }
 
+// Guards against limits that hold one by one and add up to more than the process may use:
+// bodies short of their end, bodies that wait for a slow target, answers that nobody
+// reads, queries with long heads to shards that do not all answer, heads without end and
+// frames at the port of gatherers, all at once.
+TEST_P(crowds_at_once_test, the_front_stays_within_its_memory)
+{
+    constexpr base::duration work{500};
+    constexpr std::size_t answer_bytes = std::size_t{1024} * 1024;
+    nlohmann::json wanted = configuration(7);
+    add_slow_shards(wanted);
+    add_service(wanted, "slow", 9400, work, 0);
+    add_service(wanted, "long", 9401, {}, answer_bytes);
+    wanted["routes"][1]["service"] = "slow";
+    nlohmann::json long_answers = wanted["routes"][2];
+    long_answers["name"] = "long-answers";
+    long_answers["path_prefix"] = "/a/";
+    long_answers["service"] = "long";
+    wanted["routes"].push_back(long_answers);
+    serve(wanted);
+    press_at_once(every_crowd(), *fronts_[0]);
+}
+
+INSTANTIATE_TEST_SUITE_P(memory_mb, crowds_at_once_test,
+                         ::testing::Values(small_memory_mb, 112, 160, 260),
+                         ::testing::PrintToStringParamName());
+
 } // namespace
 } // namespace curranthoist::testing
--- a/curranthoist/wire/peer_account.hpp
+++ b/curranthoist/wire/peer_account.hpp
@@ -32,6 +32,10 @@
 class peer_account
 {
 public:
+    // What a connection may hold without being counted: of a frame that arrives, and of
+    // frames that wait.
+    static constexpr std::size_t uncounted_connection_bytes = std::size_t{8} * 1024;
+
     struct limits
     {
         std::size_t max_connections = 2048;
