Pass a new state on once the whole log is applied

A core member that starts applies its log in one turn of its loop, and told the fronts of each change by itself.

The state is passed on in the next turn, when all entries that were committed together are applied.

The test fails with a call for each change: the front gets state 1.

--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -107,6 +107,11 @@
     , sessions_(state_, settings_.link_bytes_per_s, [this] { return view(); },
                 settings_.gather_from_fronts, settings_.team_limit_slack,
                 {settings_.exposure_share, settings_.exposure_slack})
+    , state_change_(loop_,
+                    [this] {
+                        sessions_.on_state_change();
+                        update_teams();
+                    })
     , host_(loop_, store_, state_, host_options(),
             [this](std::unique_ptr<consensus::peer_session> session,
                    const wire::hello& hello) {
@@ -126,8 +131,7 @@
             "event=state_changed index=" + std::to_string(state_.changed_at().value()) +
             " version=" + std::to_string(state_.version()) +
             " evacuated=" + std::to_string(state_.evacuated().size()));
-        sessions_.on_state_change();
-        update_teams();
+        state_change_.request();
     });
     host_.set_leadership_handler([this](bool leads) { on_leadership(leads); });
     joiner_ = std::make_unique<join_client>(loop_, host_.status().self, own_peers());
--- a/curranthoist/cored/core_process.hpp
+++ b/curranthoist/cored/core_process.hpp
@@ -5,6 +5,7 @@
 #include "curranthoist/cored/front_sessions.hpp"
 #include "curranthoist/cored/join_client.hpp"
 #include "curranthoist/cored/membership_keeper.hpp"
+#include "curranthoist/cored/next_turn_call.hpp"
 #include "curranthoist/cored/operator_requests.hpp"
 #include "curranthoist/cored/target_list_reader.hpp"
 #include "curranthoist/deployment/deployment_state.hpp"
@@ -86,6 +87,8 @@
     deployment::deployment_state state_;
     base::zone_traffic traffic_;
     front_sessions sessions_;
+    // Passes a new state on once all entries that are committed with it are applied.
+    next_turn_call state_change_;
     host_type host_;
     membership_keeper keeper_;
     operator_requests requests_;
--- a/curranthoist/cored/front_sessions_test.cpp
+++ b/curranthoist/cored/front_sessions_test.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/base/random_source.hpp"
 #include "curranthoist/cored/front_sessions.hpp"
+#include "curranthoist/cored/next_turn_call.hpp"
 #include "curranthoist/http/internal/raw_peer.hpp"
 
 #include <gtest/gtest.h>
@@ -178,6 +179,22 @@
     EXPECT_EQ(front.states, std::vector<std::uint64_t>{1});
 }
 
+// Guards against a member that starts again and sends fronts the first of the states in
+// its log: fronts then routed by a configuration whose shards had been replaced.
+TEST_F(front_sessions_test, a_log_that_is_applied_at_once_gives_one_state)
+{
+    fake_front front(loop_, open_session("vm"));
+    next_turn_call changed(loop_, [this] { sessions_.on_state_change(); });
+    state_.set_change_handler([&changed] { changed.request(); });
+    for (std::uint64_t version = 1; version <= 3; ++version) {
+        state_.apply(base::log_index(version),
+                     deployment::deployment_state::replace_configuration(version, "{}"));
+    }
+    front.report();
+    EXPECT_TRUE(run_until(loop_, [&] { return !front.states.empty(); }));
+    EXPECT_EQ(front.states, std::vector<std::uint64_t>{3});
+}
+
 // Guards against shares by a leader that may have been replaced, and against a front
 // that returns to stopped targets because it learns of the end of a roll-out late.
 TEST_F(front_sessions_test, shares_of_rollouts_come_from_a_confirmed_leader)
