Serve fronts that were left to the leader too early

A member that comes to know enough fronts sends the state to those of its part that held none by their last report.

--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -481,6 +481,27 @@
     send_due();
 }
 
+void front_sessions::take_over_fronts()
+{
+    const bool shared = live_fronts() > max_direct_fronts;
+    if (std::exchange(shares_fronts_, shared) == shared || !shared ||
+        state_.changed_at() == base::log_index()) {
+        return;
+    }
+    // Fronts report rarely to a member that does not lead, so that their next reports
+    // would come too late.
+    const core_view view = view_();
+    std::size_t taken = 0;
+    for (auto& [number, one] : sessions_) {
+        if (!one.observes && one.state_held == base::log_index() && serves(one, view)) {
+            one.wants_state = true;
+            ++taken;
+        }
+    }
+    log_.info("event=fronts_taken_over fronts=" + std::to_string(taken) +
+              " known=" + std::to_string(fronts_));
+}
+
 std::vector<std::uint8_t>
 front_sessions::listing_frame(const deployment::listing_change& change,
                               std::uint64_t base) const
@@ -581,6 +602,7 @@
 
 void front_sessions::send_due()
 {
+    take_over_fronts();
     // Begins after the session that was served last, or the first ones would get
     // everything before the last ones get anything.
     const base::instant now = clock_.now();
--- a/curranthoist/cored/front_sessions.hpp
+++ b/curranthoist/cored/front_sessions.hpp
@@ -213,6 +213,9 @@
     [[nodiscard]] bool may_send_state(const front_session& to,
                                       const wire::front_report& report,
                                       const core_view& view, base::instant now);
+    // Takes over the fronts without any state that were left to the leader while too few
+    // were known to be shared among the members.
+    void take_over_fronts();
     [[nodiscard]] bool is_on_its_way(const front_session& to, base::instant now) const;
     // Sends what the session waits for, as far as the rate allows, and nothing while
     // earlier bytes wait: a front behind a full link would get every state of a series.
@@ -240,6 +243,8 @@
     std::size_t fronts_ = 0;
     base::instant fronts_counted_;
     bool fronts_changed_ = true;
+    // Whether there were enough fronts to be shared among the members at the last look.
+    bool shares_fronts_ = false;
     // The session to which send_due() sent last.
     std::uint64_t last_served_ = 0;
     send_allowance allowance_;
--- a/curranthoist/cored/front_sessions_test.cpp
+++ b/curranthoist/cored/front_sessions_test.cpp
@@ -129,7 +129,8 @@
     {
         std::vector<std::unique_ptr<fake_front>> all;
         for (std::size_t i = 0; i < count; ++i) {
-            const int other_end = open_session("vm" + std::to_string(i));
+            names_.push_back("vm" + std::to_string(i));
+            const int other_end = open_session(names_.back());
             all.push_back(std::make_unique<fake_front>(loop_, other_end));
             all.back()->report();
         }
@@ -157,6 +158,8 @@
     bool leads_ = true;
     std::vector<std::string> members_;
     std::string self_;
+    // Of the fronts of open_fronts().
+    std::vector<std::string> names_;
     front_sessions sessions_{
         state_, link_bytes_per_s,
         [this] {
@@ -356,6 +359,37 @@
     EXPECT_EQ(served, std::vector<int>(fronts, 1));
 }
 
+// Guards against fronts that wait for the leader's limit after a start of all VMs: a
+// member had the state before it knew enough fronts to serve a part of them, and they
+// report to it rarely.
+TEST_F(front_sessions_test, a_member_serves_its_part_once_there_are_many_fronts)
+{
+    leads_ = false;
+    members_ = {"10.0.0.1:1", "10.0.0.2:1"};
+    self_ = members_.front();
+    const auto early = open_fronts(front_sessions::max_direct_fronts);
+    replace_configuration(1, small_document);
+    run_until(
+        loop_, [] { return false; }, 0.05);
+    const auto served = [&] {
+        return std::count_if(early.begin(), early.end(),
+                             [](const auto& one) { return !one->states.empty(); });
+    };
+    EXPECT_EQ(served(), 0);
+    fake_front last(loop_, open_session("vm-last"));
+    last.report();
+    const auto expected =
+        std::count_if(names_.begin(), names_.end(), [this](const std::string& name) {
+            return std::hash<std::string>()(name) % members_.size() == 0;
+        });
+    EXPECT_GT(expected, 0);
+    EXPECT_TRUE(run_until(loop_, [&] {
+        sessions_.send_due();
+        return served() >= expected;
+    }));
+    EXPECT_EQ(served(), expected);
+}
+
 // Guards against a front that waits for a member which is gone: the leader serves it
 // then.
 TEST_F(front_sessions_test, the_leader_serves_a_front_whose_member_does_not)
