--- a/curranthoist/cored/front_sessions_test.cpp
+++ b/curranthoist/cored/front_sessions_test.cpp
@@ -1,5 +1,6 @@
 #include "curranthoist/base/random_source.hpp"
 #include "curranthoist/cored/front_sessions.hpp"
+#include "curranthoist/cored/next_turn_call.hpp"
 #include "curranthoist/http/internal/raw_peer.hpp"
 
 #include <gtest/gtest.h>
@@ -128,7 +129,8 @@
     {
         std::vector<std::unique_ptr<fake_front>> all;
         for (std::size_t i = 0; i < count; ++i) {
-            const int other_end = open_session("vm" + std::to_string(i));
+            names_.push_back("vm" + std::to_string(i));
+            const int other_end = open_session(names_.back());
             all.push_back(std::make_unique<fake_front>(loop_, other_end));
             all.back()->report();
         }
@@ -156,6 +158,8 @@
     bool leads_ = true;
     std::vector<std::string> members_;
     std::string self_;
+    // Of the fronts of open_fronts().
+    std::vector<std::string> names_;
     front_sessions sessions_{
         state_, link_bytes_per_s,
         [this] {
@@ -178,6 +182,22 @@
     EXPECT_EQ(front.states, std::vector<std::uint64_t>{1});
 }
 
+// Guards against a member that starts again and sends fronts the first of the states in
+// its log: fronts then routed by a configuration whose shards had been replaced.
+TEST_F(front_sessions_test, a_log_that_is_applied_at_once_gives_one_state)
+{
+    fake_front front(loop_, open_session("vm"));
+    next_turn_call changed(loop_, [this] { sessions_.on_state_change(); });
+    state_.set_change_handler([&changed] { changed.request(); });
+    for (std::uint64_t version = 1; version <= 3; ++version) {
+        state_.apply(base::log_index(version),
+                     deployment::deployment_state::replace_configuration(version, "{}"));
+    }
+    front.report();
+    EXPECT_TRUE(run_until(loop_, [&] { return !front.states.empty(); }));
+    EXPECT_EQ(front.states, std::vector<std::uint64_t>{3});
+}
+
 // Guards against shares by a leader that may have been replaced, and against a front
 // that returns to stopped targets because it learns of the end of a roll-out late.
 TEST_F(front_sessions_test, shares_of_rollouts_come_from_a_confirmed_leader)
@@ -339,6 +359,37 @@
     EXPECT_EQ(served, std::vector<int>(fronts, 1));
 }
 
+// Guards against fronts that wait for the leader's limit after a start of all VMs: a
+// member had the state before it knew enough fronts to serve a part of them, and they
+// report to it rarely.
+TEST_F(front_sessions_test, a_member_serves_its_part_once_there_are_many_fronts)
+{
+    leads_ = false;
+    members_ = {"10.0.0.1:1", "10.0.0.2:1"};
+    self_ = members_.front();
+    const auto early = open_fronts(front_sessions::max_direct_fronts);
+    replace_configuration(1, small_document);
+    run_until(
+        loop_, [] { return false; }, 0.05);
+    const auto served = [&] {
+        return std::count_if(early.begin(), early.end(),
+                             [](const auto& one) { return !one->states.empty(); });
+    };
+    EXPECT_EQ(served(), 0);
+    fake_front last(loop_, open_session("vm-last"));
+    last.report();
+    const auto expected =
+        std::count_if(names_.begin(), names_.end(), [this](const std::string& name) {
+            return std::hash<std::string>()(name) % members_.size() == 0;
+        });
+    EXPECT_GT(expected, 0);
+    EXPECT_TRUE(run_until(loop_, [&] {
+        sessions_.send_due();
+        return served() >= expected;
+    }));
+    EXPECT_EQ(served(), expected);
+}
+
 // Guards against a front that waits for a member which is gone: the leader serves it
 // then.
 TEST_F(front_sessions_test, the_leader_serves_a_front_whose_member_does_not)
