Charge for leaving the zone only where a deployment asks for it

The cost of leaving a zone, and the share of a zone that depends on it, held for every deployment, with 40 ms by default.

--- a/curranthoist/platform/node_settings.hpp
+++ b/curranthoist/platform/node_settings.hpp
@@ -52,8 +52,9 @@
     // From this number of front processes on, some of them gather the parts of large
     // queries for the others; 0 for never. Fewer reach the targets faster by themselves.
     std::size_t gather_from_fronts = 40;
-    // The wait that a caller accepts for a query that stays in its zone.
-    base::duration zone_cost{40};
+    // The wait that a caller accepts for a query that stays in its zone; 0 if leaving the
+    // zone costs nothing.
+    base::duration zone_cost{0};
     // From the acknowledgement of a configuration until it is in force on every VM.
     base::duration configuration_limit{3000};
     // From the acknowledgement of a configuration that withdraws a key until no VM takes
--- a/curranthoist/platform/process_shell.hpp
+++ b/curranthoist/platform/process_shell.hpp
@@ -180,7 +180,7 @@
                    "gather the parts of large queries for the others; 0 for never");
     app.add_option("--zone-cost-ms", zone_cost_ms,
                    "Wait in milliseconds that a caller accepts for a query that stays "
-                   "in its availability zone (front)");
+                   "in its availability zone; 0 if leaving it costs nothing (front)");
     app.add_flag("--check-settings", check_only, "Check the settings and exit");
     app.set_version_flag("--version", program.name + " " + CURRANTHOIST_VERSION);
     app.footer("Exit codes:\n"
