Keep the connections to the other members when the leader is lost

Each front closed its connections to all members of the core and opened new ones when the leader stopped responding: a member was given up when its last response was older than the report interval and 1.1 s, and without a leader the interval of the others falls from 3.6 s to 0.4 s at once. The wait is now counted from the first report without a response.

core_links_test.the_loss_of_the_leader_keeps_the_connections_to_the_others counted 2 connections to the follower on the code before, and 1 now.

--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -15,7 +15,6 @@
 {
     base::endpoint address;
     base::instant last_report;
-    base::instant last_response;
     bool responsive = false;
     // When the reports were sent that have no answer yet, by their numbers.
     std::map<std::uint64_t, base::instant> sent_reports;
@@ -100,11 +99,10 @@
         slot = std::make_unique<link>();
         link& peer = *slot;
         peer.address = address;
-        peer.last_response = clock_.now();
         peer.dialer = std::make_unique<wire::peer_dialer>(
             loop_, address,
             [this, &peer] {
-                peer.last_response = clock_.now();
+                peer.sent_reports.clear();
                 peer.dialer->send(own_hello());
                 send_report(peer);
             },
@@ -128,17 +126,19 @@
         if (!peer->dialer->is_connected()) {
             continue;
         }
-        const base::duration interval = report_interval_for(*peer);
-        if (now - peer->last_response > interval + answer_limit) {
+        const base::duration waited = peer->sent_reports.empty()
+                                          ? base::duration()
+                                          : now - peer->sent_reports.begin()->second;
+        if (waited > answer_limit) {
             if (peer->responsive) {
-                log_.warn("event=core_lost member=" + address.str() +
-                          " reason=\"no response\" age_ms=" +
-                          std::to_string((now - peer->last_response).count()));
+                log_.warn(
+                    "event=core_lost member=" + address.str() +
+                    " reason=\"no response\" age_ms=" + std::to_string(waited.count()));
             }
             peer->responsive = false;
             peer->dialer->reconnect();
         }
-        else if (now - peer->last_report >= interval) {
+        else if (now - peer->last_report >= report_interval_for(*peer)) {
             send_report(*peer);
         }
     }
@@ -269,7 +269,6 @@
 
 void core_links::on_core_report(link& peer, const wire::core_report& report)
 {
-    peer.last_response = clock_.now();
     if (!peer.responsive) {
         peer.responsive = true;
         log_.info("event=core_reached member=" + peer.address.str());
--- a/curranthoist/coreclient/core_links.hpp
+++ b/curranthoist/coreclient/core_links.hpp
@@ -105,8 +105,8 @@
     // seeds and to the unconfirmed members: the leader may be a member that it does not
     // know.
     static constexpr base::duration leader_limit{1200};
-    // The process reconnects to a member that has not responded for the report interval
-    // plus this time.
+    // The process reconnects to a member that has not responded to a report for this
+    // time.
     static constexpr base::duration answer_limit{1100};
 
     // Starts to connect to the seeds. `observes` is true for a process that serves no
--- a/curranthoist/coreclient/core_links_test.cpp
+++ b/curranthoist/coreclient/core_links_test.cpp
@@ -343,5 +343,25 @@
     EXPECT_TRUE(run_until(loop_, [&] { return leader.accepted >= 2; }));
 }
 
+// Guards against fronts that all connect anew to all other members when the leader stops
+// responding, because those have had no report for longer than a response may take.
+TEST_F(core_links_test, the_loss_of_the_leader_keeps_the_connections_to_the_others)
+{
+    const base::endpoint first = free_endpoint();
+    const base::endpoint second = free_endpoint();
+    fake_core leader(loop_, first, true, {first, second});
+    fake_core follower(loop_, second, false, {first, second});
+    connect({first, second});
+    ASSERT_TRUE(run_until(loop_, [&] { return links_->live_members() == 2; }));
+    constexpr double longer_than_a_response_s = 2.0;
+    run_until(
+        loop_, [] { return false; }, longer_than_a_response_s);
+    const int reports = follower.reports;
+    leader.answers = false;
+    ASSERT_TRUE(run_until(loop_, [&] { return follower.reports >= reports + 3; }));
+    EXPECT_EQ(follower.accepted, 1);
+    EXPECT_EQ(links_->live_members(), 1U);
+}
+
 } // namespace
 } // namespace curranthoist::coreclient
