Judge a report's answers of both versions together

The leader handed a report's counts to the judge of a roll-out one version after the other, in the order of their names. If the ordered version's name sorts first, its answers were compared with an old version that was not known yet. In the first report to a new leader, which holds all counts since the order, a version that is as good as the old one could be rolled back.

rollout_judges_test failed before: with 20 bad answers of 100 beside 80 of 400, v0 was rolled back beside v1, and v2 was not.

--- a/curranthoist/cored/rollout_judges.cpp
+++ b/curranthoist/cored/rollout_judges.cpp
@@ -31,6 +31,14 @@
 void rollout_judges::add(const std::string& front,
                          std::span<const deployment::version_answers> answers)
 {
+    struct growth
+    {
+        rollout_judge::counts old;
+        rollout_judge::counts ordered;
+    };
+    // The ordered version is compared with the old one, so it must not be judged before
+    // the old one's answers in the same report.
+    std::map<base::service_id, growth> grown;
     for (const deployment::version_answers& one : answers) {
         const auto found = running_.find(one.service);
         if (found == running_.end()) {
@@ -42,14 +50,16 @@
         if (restarted) {
             last = {};
         }
-        const rollout_judge::counts grown{one.answers - last.answers, one.bad - last.bad};
+        growth& of_service = grown[one.service];
+        rollout_judge::counts& sum = one.version == rollout.order.target_version
+                                         ? of_service.ordered
+                                         : of_service.old;
+        sum.answers += one.answers - last.answers;
+        sum.bad += one.bad - last.bad;
         last = {one.answers, one.bad};
-        if (one.version == rollout.order.target_version) {
-            rollout.judge.add({}, grown);
-        }
-        else {
-            rollout.judge.add(grown, {});
-        }
+    }
+    for (const auto& [service, one] : grown) {
+        running_.at(service).judge.add(one.old, one.ordered);
     }
 }
 
--- a/curranthoist/cored/rollout_judges_test.cpp
+++ b/curranthoist/cored/rollout_judges_test.cpp
@@ -106,5 +106,24 @@
     EXPECT_EQ(judges_.shares()[0].target_version, "v3");
 }
 
+// Guards against a good version that a new leader rolls back because it judges its
+// answers before it knows those of the old one: both fail a fifth of their requests.
+TEST_F(rollout_judges_test, a_report_is_judged_whole_whatever_the_versions_are_called)
+{
+    for (const std::string ordered : {"v2", "v0"}) {
+        rollouts_.at(service_).target_version = ordered;
+        judges_.clear();
+        judges_.set_rollouts(rollouts_, now_, wall_);
+        std::vector<deployment::version_answers> counts{{service_, "v1", 400, 80},
+                                                        {service_, ordered, 100, 20}};
+        if (ordered < "v1") {
+            std::swap(counts[0], counts[1]);
+        }
+        judges_.add("a", counts);
+        judges_.update(now_);
+        EXPECT_TRUE(decisions().empty()) << ordered;
+    }
+}
+
 } // namespace
 } // namespace curranthoist::cored
