Complete a roll-out when nothing waits for its old targets

Old targets stop as soon as a roll-out is completed. The leader committed the end in the moment of the verdict: requests that waited for answers of old targets were broken off, and after a late verdict most requests were still on their way to them.

Fronts now report the open requests of each version. A completion waits until every front that reports has done so twice with the full share and awaits nothing of the old targets, or until 0.6 s before the deadline. A version that turns bad meanwhile is rolled back.

More tests hold rules that no test failed for when they were broken: the age of a share on the front's side, a roll-out that the leader does not name, a VM that never heard the leader, and a third version that joins.

--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -197,6 +197,7 @@
             entry->version = one.version;
             entry->answers = one.answers;
             entry->bad = one.bad;
+            entry->open = one.open;
             report.answers_by_version.push_back(std::move(entry));
         }
     }
--- a/curranthoist/coreclient/core_links_test.cpp
+++ b/curranthoist/coreclient/core_links_test.cpp
@@ -1,3 +1,4 @@
+#include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/coreclient/core_links.hpp"
 #include "curranthoist/http/internal/raw_peer.hpp"
 #include "curranthoist/testing/loopback.hpp"
@@ -6,8 +7,10 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <map>
 #include <optional>
+#include <thread>
 
 namespace curranthoist::coreclient {
 namespace {
@@ -53,6 +56,11 @@
     // How often reports named each zone, and whether answers name a share.
     std::map<std::string, int> zones_reported;
     bool names_share = false;
+    // If not 0, answers name the share of a roll-out and take this time.
+    base::duration answer_delay;
+    base::instant reported_at;
+    // Open requests, by version, in the last report.
+    std::map<std::string, unsigned> open;
 
 private:
     void on_accept(int descriptor)
@@ -76,6 +84,12 @@
                 ++zones_reported[one->zone()->str()];
             }
         }
+        reported_at = base::monotonic_clock().now();
+        if (report->answers_by_version() != nullptr) {
+            for (const auto* one : *report->answers_by_version()) {
+                open[one->version()->str()] = one->open();
+            }
+        }
         wire::core_report_message reply;
         reply.sequence = report->sequence();
         reply.leader = leads_;
@@ -106,6 +120,14 @@
             reply.given_share->to = "y";
             reply.given_share->permille = 250;
         }
+        if (answer_delay > base::duration()) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(answer_delay.count()));
+            auto entry = std::make_unique<wire::rollout_share_message>();
+            entry->service = "s";
+            entry->target_version = "v2";
+            entry->share_per_10000 = 2500;
+            reply.rollout_shares.push_back(std::move(entry));
+        }
         peers_[peer]->send(std::move(reply));
     }
 
@@ -139,6 +161,15 @@
         callbacks.on_gatherers = [this](std::vector<deployment::gatherer> gatherers) {
             gatherers_.push_back(std::move(gatherers));
         };
+        callbacks.answers_by_version = [] {
+            return std::vector<deployment::version_answers>{
+                {base::service_id("s"), "v1", 7, 1, 2}};
+        };
+        callbacks.on_rollout_shares =
+            [this](std::span<const deployment::rollout_share> shares, base::instant at) {
+                rollout_shares_ = {shares.begin(), shares.end()};
+                shares_at_ = at;
+            };
         callbacks.answers_by_zone = [this] { return seen_; };
         callbacks.on_zone_share = [this](std::optional<deployment::zone_share> share) {
             share_ = std::move(share);
@@ -177,6 +208,8 @@
     std::vector<deployment::zone_answers> seen_;
     std::optional<deployment::zone_share> share_;
     std::size_t fronts_ = 0;
+    std::vector<deployment::rollout_share> rollout_shares_;
+    base::instant shares_at_;
 };
 
 // Guards against a front that never receives a list: it connects to a follower first and
@@ -330,6 +363,20 @@
     EXPECT_TRUE(run_until(loop_, [&] { return !share_; }));
 }
 
+// Guards against a front that takes the share of a roll-out for newer than it is, as its
+// answer was long on its way, and against open requests that the leader doesn't know of.
+TEST_F(core_links_test, shares_of_rollouts_are_as_old_as_the_report_that_asked)
+{
+    const base::endpoint first = free_endpoint();
+    fake_core leader(loop_, first, true, {first});
+    leader.answer_delay = base::duration(50);
+    connect({first});
+    ASSERT_TRUE(run_until(loop_, [&] { return !rollout_shares_.empty(); }));
+    EXPECT_EQ(rollout_shares_[0].share, 0.25);
+    EXPECT_LE(shares_at_, leader.reported_at);
+    EXPECT_TRUE(run_until(loop_, [&] { return leader.open["v1"] == 2; }));
+}
+
 // Guards against a connection that stays in use although the member at its other end no
 // longer responds.
 TEST_F(core_links_test, a_member_that_stops_answering_gets_a_new_connection)
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -232,10 +232,11 @@
         for (const wire::version_answers* one : *report.answers_by_version()) {
             if (one->service() != nullptr && one->version() != nullptr) {
                 answers.push_back({base::service_id(one->service()->str()),
-                                   one->version()->str(), one->answers(), one->bad()});
+                                   one->version()->str(), one->answers(), one->bad(),
+                                   one->open()});
             }
         }
-        judges_.add(from.name, answers);
+        judges_.add(from.name, answers, now);
         judges_.update(now);
     }
     if (!confirmed_ || now - confirmed_->at > confirmation_limit) {
--- a/curranthoist/cored/rollback_bound_test.cpp
+++ b/curranthoist/cored/rollback_bound_test.cpp
@@ -91,7 +91,7 @@
         while (!from.on_way.empty() && from.on_way.front().arrives_at <= now) {
             const report arrived = std::move(from.on_way.front());
             from.on_way.pop_front();
-            judges_.add(from.name, arrived.answers);
+            judges_.add(from.name, arrived.answers, now);
             judges_.update(now);
             if (answered) {
                 from.rules.set_shares(judges_.shares(), arrived.sent_at);
--- a/curranthoist/cored/rollout_judge.cpp
+++ b/curranthoist/cored/rollout_judge.cpp
@@ -17,6 +17,8 @@
 // that it is committed by then, and not before this part of the time.
 constexpr base::duration commit_limit{1500};
 constexpr double min_verdict_part = 0.85;
+// What a completion waits for may last until this time before the deadline.
+constexpr base::duration last_commit_limit{600};
 // A leader that takes over shortly before the deadline needs this time to hear the
 // fronts.
 constexpr base::duration min_remaining{2000};
@@ -155,16 +157,19 @@
 
 void rollout_judge::update(base::instant now)
 {
-    if (verdict_ != rollout_phase::running) {
+    if (verdict_ == rollout_phase::rolled_back) {
         return;
     }
+    elapsed_ = now - started_;
     const double surplus_bound =
         std::max(max_surplus_bad, surplus_deviations * std::sqrt(surplus_variance_));
     if (evidence_ >= roll_back_bound() || surplus_bad_ >= surplus_bound) {
         verdict_ = rollout_phase::rolled_back;
         return;
     }
-    elapsed_ = now - started_;
+    if (verdict_ == rollout_phase::completed) {
+        return;
+    }
     const base::duration step_time =
         part_of(remaining_, steps_part / static_cast<double>(share_steps.size()));
     const bool is_last = step_ + 1 == share_steps.size();
@@ -194,6 +199,11 @@
     }
 }
 
+bool rollout_judge::must_end() const
+{
+    return elapsed_ >= remaining_ - last_commit_limit;
+}
+
 double rollout_judge::share() const
 {
     switch (verdict_) {
--- a/curranthoist/cored/rollout_judge.hpp
+++ b/curranthoist/cored/rollout_judge.hpp
@@ -34,8 +34,11 @@
     void add(counts old_version, counts ordered_version);
     // Takes over what follows from the answers and the time. Call it often.
     void update(base::instant now);
-    // Returns `running` until the judgement is final.
+    // Returns `running` until the judgement is made. A completed version that turns bad
+    // is rolled back after all.
     [[nodiscard]] deployment::rollout_phase verdict() const { return verdict_; }
+    // Returns true if a judgement must be committed now to be so by the deadline.
+    [[nodiscard]] bool must_end() const;
     // Returns the part of the requests that the ordered version may get, from 0 to 1.
     [[nodiscard]] double share() const;
     // The logarithm of the likelihood that the version is bad over that of a good one.
--- a/curranthoist/cored/rollout_judges.cpp
+++ b/curranthoist/cored/rollout_judges.cpp
@@ -4,6 +4,13 @@
 
 namespace curranthoist::cored {
 
+namespace {
+
+// A front that has not reported for this time has no share in force.
+constexpr base::duration silent_after{1200};
+
+} // namespace
+
 void rollout_judges::set_rollouts(
     const std::map<base::service_id, deployment::rollout>& rollouts, base::instant now,
     base::instant wall_now)
@@ -22,19 +29,20 @@
         // The wall clocks of two leaders may differ, so the rest is bounded by the order.
         const base::duration rest =
             std::min(order.ordered_at + order.duration - wall_now, order.duration);
-        running_.emplace(
-            service, running_rollout{
-                         order, rollout_judge(options_, rest, now), base::instant(), {}});
+        running_.emplace(service,
+                         running_rollout{order, rollout_judge(options_, rest, now)});
     }
 }
 
 void rollout_judges::add(const std::string& front,
-                         std::span<const deployment::version_answers> answers)
+                         std::span<const deployment::version_answers> answers,
+                         base::instant now)
 {
     struct growth
     {
         rollout_judge::counts old;
         rollout_judge::counts ordered;
+        std::uint64_t open_at_old = 0;
     };
     // The ordered version is compared with the old one, so it must not be judged before
     // the old one's answers in the same report.
@@ -51,15 +59,21 @@
             last = {};
         }
         growth& of_service = grown[one.service];
-        rollout_judge::counts& sum = one.version == rollout.order.target_version
-                                         ? of_service.ordered
-                                         : of_service.old;
+        const bool is_ordered = one.version == rollout.order.target_version;
+        rollout_judge::counts& sum = is_ordered ? of_service.ordered : of_service.old;
         sum.answers += one.answers - last.answers;
         sum.bad += one.bad - last.bad;
+        of_service.open_at_old += is_ordered ? 0 : one.open;
         last = {one.answers, one.bad};
     }
     for (const auto& [service, one] : grown) {
-        running_.at(service).judge.add(one.old, one.ordered);
+        running_rollout& rollout = running_.at(service);
+        front_report& newest = rollout.fronts[front];
+        newest.at = now;
+        newest.open_at_old = one.open_at_old;
+        newest.with_full_share =
+            rollout.judge.share() == 1.0 ? newest.with_full_share + 1 : 0;
+        rollout.judge.add(one.old, one.ordered);
     }
 }
 
@@ -79,13 +93,31 @@
     return result;
 }
 
+bool rollout_judges::is_due(const running_rollout& one, base::instant now)
+{
+    const deployment::rollout_phase verdict = one.judge.verdict();
+    if (verdict == deployment::rollout_phase::running) {
+        return false;
+    }
+    if (one.named_at != base::instant()) {
+        return now - one.named_at >= decision_interval;
+    }
+    return verdict == deployment::rollout_phase::rolled_back || one.judge.must_end() ||
+           std::all_of(one.fronts.begin(), one.fronts.end(), [now](const auto& known) {
+               const front_report& newest = known.second;
+               // Without a newer share it sends to the old targets again, whatever the
+               // leader does.
+               const bool is_silent = now - newest.at > silent_after;
+               return is_silent ||
+                      (newest.with_full_share > 1 && newest.open_at_old == 0);
+           });
+}
+
 std::vector<rollout_judges::decision> rollout_judges::take_decisions(base::instant now)
 {
     std::vector<decision> result;
     for (auto& [service, one] : running_) {
-        const bool is_due =
-            one.named_at == base::instant() || now - one.named_at >= decision_interval;
-        if (one.judge.verdict() != deployment::rollout_phase::running && is_due) {
+        if (is_due(one, now)) {
             one.named_at = now;
             result.push_back({one.order, one.judge.verdict(), one.judge.ordered_total(),
                               one.judge.old_total(), one.judge.evidence()});
--- a/curranthoist/cored/rollout_judges.hpp
+++ b/curranthoist/cored/rollout_judges.hpp
@@ -43,24 +43,36 @@
     // Takes over one front's counts, which it has added up since it learned of the order.
     // A count that is lower than the last one is that of a front that has restarted.
     void add(const std::string& front,
-             std::span<const deployment::version_answers> answers);
+             std::span<const deployment::version_answers> answers, base::instant now);
     void update(base::instant now);
     [[nodiscard]] std::vector<deployment::rollout_share> shares() const;
-    // Returns the judgements that are final and that the state lacks.
+    // Returns the judgements that are final and that the state lacks. The old targets
+    // stop at a completion, so it waits until no front that reports sends to them or
+    // awaits an answer of them, or until it must be committed.
     [[nodiscard]] std::vector<decision> take_decisions(base::instant now);
     // Forgets everything, for a process that begins to lead.
     void clear();
 
 private:
+    struct front_report
+    {
+        base::instant at;
+        // Reports since the share became full. The first one asks for that share.
+        unsigned with_full_share = 0;
+        std::uint64_t open_at_old = 0;
+    };
     struct running_rollout
     {
         deployment::rollout order;
         rollout_judge judge;
-        base::instant named_at;
+        base::instant named_at = {};
         // The last counts of each front, by version.
-        std::map<std::pair<std::string, std::string>, rollout_judge::counts> last;
+        std::map<std::pair<std::string, std::string>, rollout_judge::counts> last = {};
+        std::map<std::string, front_report> fronts = {};
     };
 
+    [[nodiscard]] static bool is_due(const running_rollout& one, base::instant now);
+
     rollout_judge::options options_;
     std::map<base::service_id, running_rollout> running_;
 };
--- a/curranthoist/cored/rollout_model_test.cpp
+++ b/curranthoist/cored/rollout_model_test.cpp
@@ -142,9 +142,9 @@
             return;
         }
         const auto counts = one.rules.answers();
-        judges_.add(one.name, counts);
+        judges_.add(one.name, counts, now_);
         if (hit == fault::report_twice) {
-            judges_.add(one.name, counts);
+            judges_.add(one.name, counts, now_);
         }
         judges_.update(now_);
         one.on_way.push_back(
--- a/curranthoist/deployment/version_answers.hpp
+++ b/curranthoist/deployment/version_answers.hpp
@@ -15,6 +15,8 @@
     std::uint64_t answers = 0;
     // Failures, answers that never came, and those that took far longer than usual.
     std::uint64_t bad = 0;
+    // Requests that wait for their answer.
+    std::uint32_t open = 0;
 };
 
 } // namespace curranthoist::deployment
--- a/curranthoist/forwarding/target_directory.cpp
+++ b/curranthoist/forwarding/target_directory.cpp
@@ -404,6 +404,23 @@
     }
 }
 
+std::vector<deployment::version_answers> target_directory::answers_by_version() const
+{
+    std::vector<deployment::version_answers> result = versions_.answers();
+    for (deployment::version_answers& one : result) {
+        const auto listed = services_.find(one.service);
+        if (listed == services_.end()) {
+            continue;
+        }
+        for (const target_state* const target : listed->second.targets) {
+            if (target->listed.version == one.version) {
+                one.open += static_cast<std::uint32_t>(target->estimate.outstanding());
+            }
+        }
+    }
+    return result;
+}
+
 bool target_directory::on_notice(const base::target_id& id, const target_notice& notice,
                                  base::instant now)
 {
--- a/curranthoist/forwarding/target_directory.hpp
+++ b/curranthoist/forwarding/target_directory.hpp
@@ -105,6 +105,10 @@
     [[nodiscard]] bool has_listing() const { return has_listing_; }
     [[nodiscard]] base::instant read_at() const { return read_at_; }
 
+    // Returns the answers of the versions in running roll-outs, and the requests that
+    // wait for one.
+    [[nodiscard]] std::vector<deployment::version_answers> answers_by_version() const;
+
     // Record that a request was sent to the target and how it ended. `expected_latency`
     // is the usual latency of such a request, or 0 if it is not known; `latency` is the
     // elapsed time of this request.
--- a/curranthoist/forwarding/target_directory_test.cpp
+++ b/curranthoist/forwarding/target_directory_test.cpp
@@ -598,6 +598,15 @@
     EXPECT_EQ(chosen(), "");
 }
 
+// Guards against a VM that has just started, has not heard the leader yet and takes that
+// for being out of touch.
+TEST_F(rollout_directory_test, a_vm_that_never_heard_the_leader_uses_no_new_targets)
+{
+    advance(version_rules::default_contact_limit.count() * 2);
+    send_and_respond("a", response_kind::unreachable);
+    EXPECT_EQ(chosen(), "");
+}
+
 // Guards against requests to new targets that are listed before their order is known.
 TEST_F(rollout_directory_test, a_joining_version_waits_for_the_state_of_its_reading)
 {
@@ -625,6 +634,23 @@
     EXPECT_EQ(chosen("a"), "b");
 }
 
+// Guards against requests to a third version that joins while a roll-out to another one
+// runs, before an order for it can be known.
+TEST_F(rollout_directory_test, a_version_that_joins_during_a_rollout_waits_too)
+{
+    auto old_target = target("a");
+    old_target.version = "v1";
+    auto third_target = target("c");
+    third_target.version = "v3";
+    advance(1000);
+    directory_.apply({.targets = {old_target, third_target},
+                      .read_at = now_,
+                      .state_index = state_index_});
+    EXPECT_EQ(chosen("a"), "");
+    advance(version_rules::join_hold.count());
+    EXPECT_EQ(chosen("a"), "c");
+}
+
 // Guards against targets that wait for an order in a deployment without roll-outs.
 TEST_F(rollout_directory_test, without_rollouts_a_joining_version_is_used_at_once)
 {
@@ -653,6 +679,38 @@
     EXPECT_EQ(chosen(), "c");
 }
 
+// Guards against an old target that stops with requests that nobody counted: they were
+// sent before the order was known, or nothing has answered since.
+TEST_F(rollout_directory_test, open_requests_are_counted_by_version)
+{
+    directory_.versions().set_rollouts({}, state_index_);
+    directory_.on_sent(base::target_id("a"), usual_latency, now_);
+    set_phase(deployment::rollout_phase::running);
+    const auto open = [this] {
+        std::map<std::string, std::uint32_t> result;
+        for (const auto& one : directory_.answers_by_version()) {
+            result[one.version] = one.open;
+        }
+        return result;
+    };
+    EXPECT_EQ(open(), (std::map<std::string, std::uint32_t>{{"v1", 1}}));
+    send_and_respond("b", response_kind::success);
+    directory_.on_sent(base::target_id("b"), usual_latency, now_);
+    directory_.on_sent(base::target_id("b"), usual_latency, now_);
+    directory_.on_answer(base::target_id("a"), response_kind::cancelled, usual_latency,
+                         usual_latency, now_);
+    EXPECT_EQ(open(), (std::map<std::string, std::uint32_t>{{"v1", 0}, {"v2", 2}}));
+}
+
+// Guards against requests to a version whose running roll-out the leader does not name,
+// as one that has just begun to lead.
+TEST_F(rollout_directory_test, a_rollout_that_the_leader_does_not_name_gets_nothing)
+{
+    set_share(1.0);
+    directory_.versions().set_shares({}, now_);
+    EXPECT_EQ(send(100), 0);
+}
+
 // Guards against answers that are counted for the wrong version, and against calls that
 // were never run or were overtaken counted as bad.
 TEST_F(rollout_directory_test, answers_are_counted_by_version)
--- a/curranthoist/forwarding/version_rules.cpp
+++ b/curranthoist/forwarding/version_rules.cpp
@@ -37,7 +37,7 @@
                 one.service, service_rules{one,
                                            version_share(initial_credit(own_name_, one),
                                                          share_lifetime_),
-                                           {}});
+                                           {{one.base_version, {}}}});
         }
     }
     std::erase_if(services_,
--- a/curranthoist/forwarding/version_rules.hpp
+++ b/curranthoist/forwarding/version_rules.hpp
@@ -75,7 +75,7 @@
                    response_kind kind, base::duration latency,
                    base::duration expected_latency);
     // Returns what the versions of services with a running roll-out have answered since
-    // this VM learned of the order.
+    // this VM learned of the order; the version before the order is always among them.
     [[nodiscard]] std::vector<deployment::version_answers> answers() const;
 
 private:
--- a/curranthoist/frontd/core_updates.cpp
+++ b/curranthoist/frontd/core_updates.cpp
@@ -67,7 +67,7 @@
         state_.context.directory.versions().set_shares(shares, at);
     };
     on.answers_by_version = [this] {
-        return state_.context.directory.versions().answers();
+        return state_.context.directory.answers_by_version();
     };
     on.answers_by_zone = [this] { return state_.context.zone_answers.counts(); };
     on.on_zone_share = [this](std::optional<deployment::zone_share> share) {
