Test what leads of a roll-out's judgement no test held

Each of these went unnoticed when broken on purpose: a process that leads again and goes on with the judgement of its earlier term, good answers that add up without a bound, and a version that is a little worse than a bad old one and is stopped only by the number of its bad answers.

--- a/curranthoist/cored/front_sessions_test.cpp
+++ b/curranthoist/cored/front_sessions_test.cpp
@@ -34,6 +34,14 @@
         message.gatherers_number = gatherers_number;
         message.stopping = stopping;
         message.zone_cost_ms = zone_cost_ms;
+        if (bad_answers > 0) {
+            auto entry = std::make_unique<wire::version_answers_message>();
+            entry->service = "s";
+            entry->version = "v2";
+            entry->answers = bad_answers;
+            entry->bad = bad_answers;
+            message.answers_by_version.push_back(std::move(entry));
+        }
         for (const auto& [zone, seen] : zones) {
             auto entry = std::make_unique<wire::zone_answers_message>();
             entry->zone = zone;
@@ -56,6 +64,8 @@
     // What its next reports name.
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> zones;
     unsigned zone_cost_ms = 0;
+    // Of the version v2 of the service s.
+    std::uint64_t bad_answers = 0;
     // Of the last answer, in thousandths; empty if its zone keeps all.
     std::map<std::string, unsigned> given;
     // Of lists and changes of them, as they came.
@@ -214,6 +224,22 @@
     EXPECT_TRUE(front.shares.empty());
 }
 
+// Guards against a process that leads again and goes on with the share and the judgement
+// of its earlier term.
+TEST_F(front_sessions_test, a_new_term_judges_rollouts_anew)
+{
+    fake_front front(loop_, open_session("vm"));
+    const deployment::rollout order{base::service_id("s"), "v2", "v1",
+                                    base::duration(12'000), base::wall_clock().now()};
+    state_.apply(base::log_index(1), deployment::deployment_state::start_rollout(order));
+    EXPECT_TRUE(sessions_.judge_rollouts(1).empty());
+    front.bad_answers = 20;
+    front.report();
+    EXPECT_TRUE(run_until(loop_, [&] { return front.answers == 1; }));
+    EXPECT_EQ(sessions_.judge_rollouts(1).size(), 1U);
+    EXPECT_TRUE(sessions_.judge_rollouts(2).empty());
+}
+
 // Guards against a session that queues every state of a series for a front that does not
 // read, so that the newest one comes last.
 TEST_F(front_sessions_test, a_front_that_reads_late_gets_the_newest_state_next)
--- a/curranthoist/cored/rollout_judge_test.cpp
+++ b/curranthoist/cored/rollout_judge_test.cpp
@@ -169,6 +169,28 @@
     EXPECT_LT(result.max_bad, 50U);
 }
 
+// Guards against hundreds of good answers that have to be outweighed before a version
+// that has turned bad is found.
+TEST(rollout_judge_test, a_few_bad_answers_after_many_good_ones_are_enough)
+{
+    rollout_judge judge({}, duration, base::instant(1000));
+    judge.add({4000, 0}, {2000, 0});
+    judge.add({}, {6, 6});
+    judge.update(base::instant(1001));
+    EXPECT_EQ(judge.verdict(), rollout_phase::rolled_back);
+}
+
+// Guards against hundreds of bad answers of a version that is worse than a bad old one,
+// but not by as much as the test looks for.
+TEST(rollout_judge_test, a_version_that_is_a_little_worse_is_stopped_by_its_bad_answers)
+{
+    rollout_judge judge({}, duration, base::instant(1000));
+    judge.add({1000, 200}, {1000, 290});
+    EXPECT_LT(judge.evidence(), 0);
+    judge.update(base::instant(1001));
+    EXPECT_EQ(judge.verdict(), rollout_phase::rolled_back);
+}
+
 // Guards against a version that is accepted at a small share, where it is still good.
 TEST(rollout_judge_test, a_version_that_is_bad_under_load_is_rolled_back)
 {
