Let entry and control processes limit what peers hold by their memory

Whoever reached the relay port of an entry process could end it: its frames together had no limit.

The relay port gets a peer_account, and the settings memory_mb (256 by default). Connections, bodies, responses and frames take parts of it. The first frame at the relay port has 4 KiB at most, as at the other ports; a connection too many makes a silent one give way instead of being closed.

Responses of targets that an entry process holds are still not counted together (docs/OPERATIONS.md).

--- a/curranthoist/controld/control_process.cpp
+++ b/curranthoist/controld/control_process.cpp
@@ -18,6 +18,44 @@
 // Longer than a create_service intent with the design size's 4,500 targets.
 constexpr std::size_t max_operator_body_bytes = std::size_t{4} * 1024 * 1024;
 
+// The parts of the process's memory that operators' connections, their bodies, frames at
+// the port of other processes, and connections there may take.
+constexpr std::size_t operator_connection_divisor = 16;
+constexpr std::size_t body_divisor = 8;
+constexpr std::size_t frame_divisor = 4;
+constexpr std::size_t peer_connection_divisor = 16;
+
+std::size_t memory_bytes(const settings::control_settings& settings)
+{
+    return settings.memory_mb * 1024 * 1024;
+}
+
+http::caller_server_options
+operator_server_options(const settings::control_settings& settings)
+{
+    constexpr std::size_t max_connections = 256;
+    http::caller_server_options result{.listen = settings.operators,
+                                       .max_body_bytes = max_operator_body_bytes};
+    result.max_connections = static_cast<unsigned>(
+        std::min(max_connections,
+                 memory_bytes(settings) / operator_connection_divisor /
+                     http::caller_server::connection_bytes(result.max_header_bytes)));
+    result.max_request_memory =
+        std::max(memory_bytes(settings) / body_divisor, max_operator_body_bytes);
+    return result;
+}
+
+wire::peer_account::limits peer_limits(const settings::control_settings& settings)
+{
+    wire::peer_account::limits result;
+    result.max_connections = std::min(result.max_connections,
+                                      memory_bytes(settings) / peer_connection_divisor /
+                                          wire::peer_account::uncounted_connection_bytes);
+    result.max_bytes =
+        std::max(memory_bytes(settings) / frame_divisor, wire::max_envelope_bytes);
+    return result;
+}
+
 std::string create_folder(const std::string& folder, start_mode mode)
 {
     if (mode != start_mode::existing) {
@@ -97,9 +135,7 @@
     host_.set_leadership_handler(
         [this](bool is_leader) { service_->on_leadership(is_leader); });
     server_ = std::make_unique<http::caller_server>(
-        loop_,
-        http::caller_server_options{.listen = settings_.operators,
-                                    .max_body_bytes = max_operator_body_bytes},
+        loop_, operator_server_options(settings_),
         [this](const http::caller_request& request, http::responder answer) {
             service_->on_request(request, std::move(answer));
         });
@@ -110,6 +146,7 @@
 {
     consensus::host_options options;
     options.listen = settings_.peers;
+    options.accepted = peer_limits(settings_);
     options.incarnation =
         base::incarnation(static_cast<std::uint64_t>(base::wall_clock().now().count()));
     options.seed = std::random_device()();
--- a/curranthoist/entry/deployment_fixture_test.cpp
+++ b/curranthoist/entry/deployment_fixture_test.cpp
@@ -21,13 +21,14 @@
     control_ = new_address();
     const std::string peers = control_ + ":" + std::to_string(control_port);
     const std::string operators = control_ + ":" + std::to_string(operators_port);
-    const std::string file =
-        write_file("control.toml",
-                   "name = \"c1\"\ndata_folder = \"" + folder() +
-                       "/data\"\n[listen]\npeers = \"" + peers + "\"\noperators = \"" +
-                       operators + "\"\n[[members]]\nname = \"c1\"\npeer_address = \"" +
-                       peers + "\"\noperators_address = \"" + operators + "\"\n");
-    start("curranthoist-control", {"--settings", file, "--init-cluster"});
+    const std::string file = write_file(
+        "control.toml", "name = \"c1\"\ndata_folder = \"" + folder() + "/data\"\n" +
+                            control_lines_ + "[listen]\npeers = \"" + peers +
+                            "\"\noperators = \"" + operators +
+                            "\"\n[[members]]\nname = \"c1\"\npeer_address = \"" + peers +
+                            "\"\noperators_address = \"" + operators + "\"\n");
+    control_process_ =
+        &start("curranthoist-control", {"--settings", file, "--init-cluster"});
     ASSERT_TRUE(wait_until_ready({control_, operators_port}, "/v1/status"));
     confirm({{"kind", "add_zone"}, {"zone", "a"}});
     confirm({{"kind", "add_zone"}, {"zone", "b"}});
@@ -98,7 +99,7 @@
                                        "10000\n[listen]\ncallers = \"" +
                                        address + ":" + std::to_string(callers_port) +
                                        "\"\npeers = \"" + address + ":" +
-                                       std::to_string(peers_port) + "\"\n");
+                                       std::to_string(peers_port) + "\"\n" + vm_lines_);
     vms_.push_back({address, &start("curranthoist-entry", {"--settings", file})});
 }
 
--- a/curranthoist/entry/deployment_fixture_test.hpp
+++ b/curranthoist/entry/deployment_fixture_test.hpp
@@ -49,15 +49,20 @@
     // The runs of that order id in the journals of all targets.
     std::size_t order_runs(const std::string& id);
 
+    // Further lines of the settings of the control process and of its VMs.
+    std::string control_lines_;
+    std::string vm_lines_;
     std::map<std::string, target_entry> targets_;
     std::vector<target_entry> vms_;
+    // The address of the control process, and the process.
+    std::string control_;
+    testing::child_process* control_process_ = nullptr;
 
 private:
     void confirm(const nlohmann::json& intent);
     std::string write_file(const std::string& name, const std::string& text);
     void start_vm(const std::string& name, const std::string& address);
 
-    std::string control_;
     unsigned intents_ = 0;
 };
 
--- a/curranthoist/entry/entry_process.cpp
+++ b/curranthoist/entry/entry_process.cpp
@@ -1,6 +1,7 @@
 #include "curranthoist/entry/entry_process.hpp"
 
 #include "curranthoist/base/wall_clock.hpp"
+#include "curranthoist/entry/entry_memory.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -19,19 +20,6 @@
     return (std::uint64_t{device()} << half_bits) | device();
 }
 
-http::caller_server_options server_options(const settings::entry_settings& settings)
-{
-    constexpr std::int64_t milliseconds_per_second = 1000;
-    http::caller_server_options options;
-    options.listen = settings.callers;
-    options.max_connections = settings.limits.max_connections;
-    options.max_header_bytes = settings.limits.max_header_bytes;
-    options.max_body_bytes = settings.limits.max_body_bytes;
-    options.idle_seconds = static_cast<unsigned>(settings.limits.idle_limit.count() /
-                                                 milliseconds_per_second);
-    return options;
-}
-
 base::incarnation new_incarnation()
 {
     return base::incarnation(
@@ -77,9 +65,10 @@
                   {settings_, stop_, control_, services_, relay_, deferred_, metrics_},
                   run_)
     , relay_server_(loop_, settings_.peers, settings_.vm,
-                    settings_.limits.max_shards_per_query, own_, deferred_)
+                    settings_.limits.max_shards_per_query, own_, deferred_,
+                    relay_limits(settings_))
     , callers_(
-          loop_, server_options(settings_),
+          loop_, caller_options(settings_),
           [this](const http::caller_request& request, const http::responder& caller) {
               dispatcher_.on_request(request, caller);
           })
--- a/curranthoist/entry/relay_server.cpp
+++ b/curranthoist/entry/relay_server.cpp
@@ -4,8 +4,6 @@
 
 #include <utility>
 
-#include <unistd.h>
-
 namespace curranthoist::entry {
 
 namespace {
@@ -21,26 +19,23 @@
 
 relay_server::relay_server(ev::loop_ref loop, const base::endpoint& local,
                            base::vm_id self, std::size_t max_parts, part_server& own,
-                           deferred_calls& deferred)
+                           deferred_calls& deferred, wire::peer_account::limits accepted)
     : loop_(loop)
     , self_(std::move(self))
     , max_parts_(max_parts)
     , own_(own)
     , deferred_(deferred)
+    , account_(std::make_shared<wire::peer_account>(accepted))
     , listener_(loop, local, [this](int descriptor) { on_accept(descriptor); })
 {}
 
 void relay_server::on_accept(int descriptor)
 {
-    if (sessions_.size() >= max_connections) {
-        ::close(descriptor);
-        return;
-    }
     const std::uint64_t number = ++last_session_;
     sessions_[number].connection = std::make_unique<wire::peer_connection>(
         loop_, descriptor,
         [this, number](const wire::envelope& message) { on_message(number, message); },
-        [this, number](const std::string& reason) { close(number, reason); });
+        [this, number](const std::string& reason) { close(number, reason); }, account_);
     sessions_[number].connection->expect_message_within(wire::hello_limit);
 }
 
--- a/curranthoist/entry/relay_server.hpp
+++ b/curranthoist/entry/relay_server.hpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/entry/part_server.hpp"
+#include "curranthoist/wire/peer_account.hpp"
 #include "curranthoist/wire/peer_connection.hpp"
 #include "curranthoist/wire/peer_listener.hpp"
 
@@ -20,11 +21,10 @@
 class relay_server
 {
 public:
-    static constexpr std::size_t max_connections = 2048;
-
     // Throws std::system_error if the address can't be bound.
     relay_server(ev::loop_ref loop, const base::endpoint& local, base::vm_id self,
-                 std::size_t max_parts, part_server& own, deferred_calls& deferred);
+                 std::size_t max_parts, part_server& own, deferred_calls& deferred,
+                 wire::peer_account::limits accepted);
 
     // Bytes of replies that wait to be sent.
     [[nodiscard]] std::size_t queued_bytes() const;
@@ -54,6 +54,7 @@
     std::size_t max_parts_;
     part_server& own_;
     deferred_calls& deferred_;
+    std::shared_ptr<wire::peer_account> account_;
     base::logger log_{"relay"};
     std::uint64_t last_session_ = 0;
     std::map<std::uint64_t, session> sessions_;
--- a/curranthoist/settings/control_settings.cpp
+++ b/curranthoist/settings/control_settings.cpp
@@ -43,6 +43,8 @@
 {
     constexpr std::int64_t min_snapshot_interval = 16;
     constexpr std::int64_t max_snapshot_interval = 1'000'000;
+    constexpr std::int64_t min_memory_mb = 64;
+    constexpr std::int64_t max_memory_mb = 1'000'000;
     const internal::toml_value document = internal::parse_toml(text, file);
     internal::report mistakes(file);
     internal::table_reader root(document, "", mistakes);
@@ -55,6 +57,9 @@
         root.number("snapshot_interval_entries",
                     static_cast<std::int64_t>(result.snapshot_interval_entries),
                     min_snapshot_interval, max_snapshot_interval));
+    result.memory_mb = static_cast<std::uint64_t>(
+        root.number("memory_mb", static_cast<std::int64_t>(result.memory_mb),
+                    min_memory_mb, max_memory_mb));
     read_addresses(root.table("listen"), result);
     read_members(root, result);
     root.finish();
--- a/curranthoist/settings/control_settings.hpp
+++ b/curranthoist/settings/control_settings.hpp
@@ -23,6 +23,8 @@
     // The members of a new deployment; an existing log knows its members.
     std::vector<member_settings> members;
     std::string log_level = "info";
+    // What the process may use; the memory of connections, bodies and frames follows it.
+    std::uint64_t memory_mb = 256;
     // Log entries between two log snapshots.
     std::uint64_t snapshot_interval_entries = 4096;
 };
--- a/curranthoist/settings/entry_limits.hpp
+++ b/curranthoist/settings/entry_limits.hpp
@@ -9,6 +9,8 @@
 // What callers can make one entry process use.
 struct entry_limits
 {
+    // What the process may use; the memory of connections, bodies and frames follows it.
+    std::uint64_t memory_mb = 256;
     std::uint32_t max_connections = 1000;
     // Requests of callers that run at once; one more is refused as "not run".
     std::uint32_t max_concurrent_requests = 400;
--- a/curranthoist/settings/entry_settings.cpp
+++ b/curranthoist/settings/entry_settings.cpp
@@ -37,7 +37,12 @@
 {
     constexpr std::int64_t max_idle_s = 3600;
     constexpr std::int64_t min_header_bytes = 1024;
+    constexpr std::int64_t min_memory_mb = 64;
+    constexpr std::int64_t max_memory_mb = 1'000'000;
     constexpr std::int64_t milliseconds_per_second = 1000;
+    limits.memory_mb = static_cast<std::uint64_t>(
+        table.number("memory_mb", static_cast<std::int64_t>(limits.memory_mb),
+                     min_memory_mb, max_memory_mb));
     limits.max_connections = count(table, "max_connections", limits.max_connections);
     limits.max_concurrent_requests =
         count(table, "max_concurrent_requests", limits.max_concurrent_requests);
--- a/curranthoist/testing/platform/greedy_callers_test.cpp
+++ b/curranthoist/testing/platform/greedy_callers_test.cpp
@@ -4,10 +4,10 @@
 // is answered beside the greedy callers and after them.
 #include "curranthoist/testing/endless_server.hpp"
 #include "curranthoist/testing/greedy_callers.hpp"
+#include "curranthoist/testing/greedy_frames.hpp"
 #include "curranthoist/testing/platform/platform_fixture.hpp"
 #include "curranthoist/testing/process_usage.hpp"
 #include "curranthoist/testing/wait_until.hpp"
-#include "curranthoist/wire/frame_codec.hpp"
 
 #include <memory>
 #include <string>
@@ -42,35 +42,6 @@
     return result;
 }
 
-// The start of a frame between processes that says to be of this size, all but its last
-// bytes.
-std::string short_frame(std::size_t size)
-{
-    constexpr std::size_t missing = 10;
-    constexpr unsigned bits_per_byte = 8;
-    std::string result;
-    for (unsigned i = 0; i < wire::frame_prefix_bytes; ++i) {
-        result += static_cast<char>(size >> (bits_per_byte * i));
-    }
-    return result + std::string(size - missing, 'f');
-}
-
-template <class Message>
-std::string frame_of(Message message)
-{
-    const auto bytes = wire::encode_frame(std::move(message));
-    return {bytes.begin(), bytes.end()};
-}
-
-std::string hello_frame()
-{
-    wire::hello_message message;
-    message.protocol = wire::protocol_version;
-    message.sender = wire::role::entry;
-    message.id = "greedy";
-    return frame_of(std::move(message));
-}
-
 // Requests to gather many parts, whose reports are longer than they are.
 std::string gather_requests(std::size_t count)
 {
@@ -137,6 +108,7 @@
     {
         {
             std::vector<std::unique_ptr<greedy_callers>> crowds;
+            crowds.reserve(plans.size());
             for (const greedy_plan& plan : plans) {
                 crowds.push_back(std::make_unique<greedy_callers>(plan));
             }
