Report parts that failed before the slow ones

A gatherer told the front of a failed part only with its first report, which waits for slow parts until two fifths of the query's objective. Where many targets reset connections or answer with errors, the second sends left only then, and most of them came too late.

A gatherer now reports what fails within 3 ms of the first failure at once (forwarding/failed_parts), and the front sends it again within the route's attempts and the shared budget. Such a report does not count as the first one of a gatherer that is otherwise silent.

--- a/curranthoist/frontd/gather_task.cpp
+++ b/curranthoist/frontd/gather_task.cpp
@@ -50,9 +50,11 @@
                 base::duration(static_cast<std::int64_t>(request.time_left_ms())))
     , latency_(context.latencies[text_of(request.route())])
     , place_(std::move(place))
+    , failed_timer_(context.loop)
     , timer_(context.loop)
 {
     timer_.set<gather_task, &gather_task::on_timer>(this);
+    failed_timer_.set<gather_task, &gather_task::on_failed_timer>(this);
     if (request.services() != nullptr) {
         parts_.resize(request.services()->size());
         for (std::size_t i = 0; i < parts_.size(); ++i) {
@@ -154,6 +156,13 @@
     else if (open_parts_ == 0) {
         report();
     }
+    else if (one.kind != response_kind::success) {
+        failed_.add(index, now);
+        if (!failed_timer_.is_active()) {
+            ev_now_update(context_.loop);
+            failed_timer_.start((*failed_.due() - now).seconds());
+        }
+    }
     end_if_done();
 }
 
@@ -174,6 +183,7 @@
 {
     reported_ = true;
     timer_.stop();
+    failed_timer_.stop();
     wire::gather_report_message message;
     message.id = id_;
     std::vector<std::string_view> bodies;
@@ -228,6 +238,20 @@
     on_report_(std::move(message));
 }
 
+void gather_task::report_failed()
+{
+    wire::gather_report_message message;
+    message.id = id_;
+    for (const std::size_t index : failed_.take()) {
+        add_ungathered(message, index, parts_[index]);
+    }
+    context_.metrics
+        .counter_named("curranthoist_failed_parts_reported_total",
+                       "Parts that failed and were reported before the other parts")
+        .add(static_cast<std::int64_t>(message.ungathered.size()));
+    on_report_(std::move(message));
+}
+
 base::instant gather_task::send_deadline() const
 {
     return deadline_ - latency_.min_answer_time(objective_);
@@ -266,6 +290,7 @@
 {
     ended_ = true;
     timer_.stop();
+    failed_timer_.stop();
     const base::instant now = clock_.now();
     for (part& one : parts_) {
         if (!one.open) {
@@ -292,6 +317,11 @@
     open_parts_ = 0;
 }
 
+void gather_task::on_failed_timer(ev::timer& /*watcher*/, int /*events*/)
+{
+    report_failed();
+}
+
 void gather_task::on_timer(ev::timer& /*watcher*/, int /*events*/)
 {
     if (reported_) {
--- a/curranthoist/frontd/gather_task.hpp
+++ b/curranthoist/frontd/gather_task.hpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/instant.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/deployment/configuration.hpp"
+#include "curranthoist/forwarding/failed_parts.hpp"
 #include "curranthoist/forwarding/open_request_limit.hpp"
 #include "curranthoist/forwarding/response_kind.hpp"
 #include "curranthoist/http/target_client.hpp"
@@ -65,6 +66,9 @@
     void report();
     // Reports one part that came, or failed, after the first report.
     void report_late(std::size_t index);
+    // Reports the parts that failed before the first report, so that they are sent again
+    // without waiting for it.
+    void report_failed();
     static void add_ungathered(wire::gather_report_message& message, std::size_t index,
                                const part& from);
     // From this time on nothing is sent any more.
@@ -74,6 +78,7 @@
     void schedule_withdrawal();
     void end_if_done();
     void on_timer(ev::timer& watcher, int events);
+    void on_failed_timer(ev::timer& watcher, int events);
 
     task_context& context_;
     std::uint64_t id_;
@@ -89,6 +94,8 @@
     // Its part of the requests that the process may have open.
     std::shared_ptr<forwarding::open_request_limit::place> place_;
     std::size_t open_parts_ = 0;
+    forwarding::failed_parts failed_;
+    ev::timer failed_timer_;
     bool reported_ = false;
     bool ended_ = false;
     ev::timer timer_;
--- a/curranthoist/frontd/group_sends.cpp
+++ b/curranthoist/frontd/group_sends.cpp
@@ -19,6 +19,20 @@
 // Each gatherer gets a copy of the request; the targets share one of a longer body.
 constexpr std::size_t max_gathered_body_bytes = std::size_t{16} * 1024;
 
+// Parts that failed are reported before the gatherer has waited for the others.
+bool is_first_of_failed(const group_send& group, const wire::gather_report& report)
+{
+    const bool has_parts = report.parts() != nullptr && report.parts()->size() > 0;
+    if (group.separate || has_parts || report.ungathered() == nullptr ||
+        report.ungathered()->size() >= group.calls.size()) {
+        return false;
+    }
+    return std::none_of(report.ungathered()->begin(), report.ungathered()->end(),
+                        [](const wire::ungathered_part* part) {
+                            return part->reason() == wire::ungathered_reason::pending;
+                        });
+}
+
 } // namespace
 
 bool group_sends::may_gather() const
@@ -199,7 +213,7 @@
     group_send& group = request_.sends.group(group_index);
     std::vector<forwarding::request_action> actions;
     if (report != nullptr) {
-        group.reported = true;
+        group.reported = group.reported || !is_first_of_failed(group, *report);
         take_parts(group, *report, actions);
         take_ungathered(group, *report, actions);
         return actions;
