Show why a zone with too many callers keeps its queries

zone_loads_test.nothing_leaves_without_a_cost holds what a cost of 0 means, which is the default now. It passes on the code before as well.

--- a/curranthoist/cored/zone_loads.hpp
+++ b/curranthoist/cored/zone_loads.hpp
@@ -63,7 +63,7 @@
     };
 
     // Takes over what a VM has seen since its start; zones that it leaves out are as it
-    // reported them last. `cost` is that of the VM's zone.
+    // reported them last. `cost` is that of the VM's zone; with 0 the zone keeps all.
     void add(const std::string& vm, const base::zone_id& vm_zone, base::duration cost,
              std::span<const deployment::zone_answers> answers, base::instant now);
     // Brings the shares up to date, and returns those that began, ended or have moved by
--- a/curranthoist/cored/zone_loads_test.cpp
+++ b/curranthoist/cored/zone_loads_test.cpp
@@ -73,6 +73,8 @@
     }
     [[nodiscard]] duration elapsed() const { return now_ - begin; }
 
+    // What the fronts report.
+    duration zone_cost = cost;
     zone_loads loads;
     std::vector<zone_loads::change> changes;
 
@@ -110,7 +112,7 @@
             std::vector<deployment::zone_answers> seen{
                 {name, static_cast<std::uint64_t>(successes_[name]),
                  static_cast<std::uint64_t>(time_ms_[name])}};
-            loads.add("vm-" + name.str(), name, cost, seen, now_);
+            loads.add("vm-" + name.str(), name, zone_cost, seen, now_);
         }
         for (const zone_loads::change& one : loads.update(now_)) {
             changes.push_back(one);
@@ -195,6 +197,18 @@
               service_ms + static_cast<double>(cost.count()));
 }
 
+// Guards against queries that leave the zones of a deployment that named no cost of
+// leaving, where any difference of the waits would exceed it.
+TEST(zone_loads_test, nothing_leaves_without_a_cost)
+{
+    zone_replay replay;
+    replay.zone_cost = duration(0);
+    replay.zone("a").arrivals_per_s = 1300;
+    replay.run(duration(20'000));
+    EXPECT_EQ(replay.share("a"), 0.0);
+    EXPECT_TRUE(replay.changes.empty());
+}
+
 // Guards against load for a zone whose targets answer nobody.
 TEST(zone_loads_test, a_zone_that_is_cut_off_receives_nothing)
 {
