Report to members other than the leader each 10.8 s

Each front reported to each follower of the core each 3.6 s while the leader responds. Followers use these reports only to notice a connection that has ended: states go out on a commit, and without a leader all members get reports each 0.4 s. So 10.8 s are enough; the reports to the leader and all bounds that rest on them are as before. A follower keeps a front for 14 s instead of 6 s, so a new leader would count a lost one longer: it now counts only fronts that reported within 2 s, once it has led for 2 s.

--- a/curranthoist/coreclient/core_links.hpp
+++ b/curranthoist/coreclient/core_links.hpp
@@ -99,8 +99,9 @@
     // Several reports fit into leader_limit and into what the leader waits for.
     static constexpr base::duration rare_report_interval{600};
     // Interval of the reports to members other than the leader while the leader responds.
-    // The leader sends new data at once, so the other members need fewer reports.
-    static constexpr base::duration follower_report_interval{3600};
+    // They serve only to notice a connection that has ended: the leader sends new data at
+    // once, and all members get reports in report_interval when it stops responding.
+    static constexpr base::duration follower_report_interval{10'800};
     // If the leader has not responded for this time, the process also connects to the
     // seeds and to the unconfirmed members: the leader may be a member that it does not
     // know.
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -187,6 +187,7 @@
 {
     if (led_term_ != term) {
         led_term_ = term;
+        led_since_ = now;
         gatherers_ = gatherer_choice(gather_from_fronts_, std::random_device()(), now);
         judges_.clear();
         zones_.clear();
@@ -645,9 +646,13 @@
     if (!fronts_changed_ && now - fronts_counted_ < count_interval) {
         return fronts_;
     }
+    const core_view view = view_();
+    const bool has_led_long =
+        view.leader && view.term == led_term_ && now - led_since_ >= report_limit;
     std::set<std::string_view> names;
     for (const auto& [number, one] : sessions_) {
-        if (!one.observes && now - one.last_report < one.report_limit) {
+        const base::duration limit = has_led_long ? report_limit : one.report_limit;
+        if (!one.observes && now - one.last_report < limit) {
             names.insert(one.name);
         }
     }
--- a/curranthoist/cored/front_sessions.hpp
+++ b/curranthoist/cored/front_sessions.hpp
@@ -48,8 +48,9 @@
     // closed after twice that.
     static constexpr base::duration report_limit{2000};
     // The same for a front that hears another member as the leader, and reports rarely
-    // to this one. Longer than core_links::follower_report_interval.
-    static constexpr base::duration rare_report_limit{6000};
+    // to this one. Longer than core_links::follower_report_interval. A process that has
+    // led for report_limit does not need it: by then each front has reported to it.
+    static constexpr base::duration rare_report_limit{14'000};
     // A member that does not lead sends a state to a front that has lacked it for this
     // time and does not hear the leader, or that has lacked it for the longer time: a
     // leader needs a second for hundreds of fronts, and all members at once would need
@@ -257,6 +258,7 @@
     zone_loads zones_;
     base::instant zones_at_;
     std::uint64_t led_term_ = 0;
+    base::instant led_since_;
     base::instant gatherers_at_;
     suspect_targets suspects_;
     // Starts at a random number, so that it is not that of an earlier leader.
--- a/curranthoist/cored/front_sessions_test.cpp
+++ b/curranthoist/cored/front_sessions_test.cpp
@@ -461,5 +461,28 @@
     EXPECT_TRUE(run_until(loop_, [&] { return front.fronts == 1; }));
 }
 
+// Guards against a new leader that counts a lost front for as long as a follower, which
+// gets few reports, has to: the others would share the limits with it.
+TEST_F(front_sessions_test, a_new_leader_soon_counts_only_fronts_that_report)
+{
+    leads_ = false;
+    fake_front lost(loop_, open_session("lost"));
+    fake_front front(loop_, open_session("vm"));
+    lost.report();
+    front.report();
+    EXPECT_TRUE(run_until(loop_, [&] { return front.fronts == 2; }));
+    leads_ = true;
+    constexpr double reports_arrive_s = 3.0;
+    EXPECT_TRUE(run_until(
+        loop_,
+        [&] {
+            front.report();
+            run_until(
+                loop_, [] { return false; }, 0.1);
+            return front.fronts == 1;
+        },
+        reports_arrive_s));
+}
+
 } // namespace
 } // namespace curranthoist::cored
