--- a/curranthoist/cored/front_sessions_test.cpp
+++ b/curranthoist/cored/front_sessions_test.cpp
@@ -164,12 +164,13 @@
     base::random_source random_{1};
     deployment::deployment_state state_;
     bool leads_ = true;
+    std::uint64_t term_ = 1;
     std::vector<std::string> members_;
     std::string self_;
     front_sessions sessions_{
         state_, link_bytes_per_s,
         [this] {
-            return front_sessions::core_view{leads_, 1, members_, self_};
+            return front_sessions::core_view{leads_, term_, members_, self_};
         },
         2};
 };
@@ -237,7 +238,13 @@
     front.report();
     EXPECT_TRUE(run_until(loop_, [&] { return front.answers == 1; }));
     EXPECT_EQ(sessions_.judge_rollouts(1).size(), 1U);
-    EXPECT_TRUE(sessions_.judge_rollouts(2).empty());
+    term_ = 2;
+    EXPECT_TRUE(sessions_.judge_rollouts(term_).empty());
+    sessions_.confirm(state_.changed_at(), base::monotonic_clock().now());
+    front.bad_answers = 0;
+    front.report();
+    EXPECT_TRUE(run_until(loop_, [&] { return front.answers == 2; }));
+    EXPECT_EQ(front.shares, (std::map<std::string, unsigned>{{"s", 200}}));
 }
 
 // Guards against a session that queues every state of a series for a front that does not
