Show operators a running roll-out and what decides it

A verdict had a line of the log; before it, nothing told how far a roll-out was or why a step waited. The leader now has metrics of each running roll-out (plan, step, share, answers and bad answers of both versions, evidence and its bounds, time left, open requests at the old version) and writes a line for each step. curranthoist-ctl rollout prints the same; its reading of metrics is shared with the view of a team.

rollout_path_test runs the command against three members during a roll-out and after its end, rollout_metrics_test and rollout_report_test hold the figures and their text.

--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -5,6 +5,7 @@
 #include "curranthoist/consensus/membership.hpp"
 #include "curranthoist/cored/front_port_limits.hpp"
 #include "curranthoist/cored/operator_server_options.hpp"
+#include "curranthoist/cored/rollout_metrics.hpp"
 #include "curranthoist/cored/team_metrics.hpp"
 #include "curranthoist/platform/configuration_document.hpp"
 
@@ -258,6 +259,21 @@
     }
 }
 
+void core_process::log_rollout_steps()
+{
+    constexpr double percent = 100.0;
+    for (const rollout_standing& one : sessions_.take_rollout_steps()) {
+        log_.info("event=rollout_step service=" + one.service +
+                  " version=" + one.target_version + " step=" + std::to_string(one.step) +
+                  " of=" + std::to_string(one.plan.size()) +
+                  " share_percent=" + std::to_string(std::llround(one.share * percent)) +
+                  counts_text("", one.ordered) + counts_text("old_", one.old) +
+                  " evidence_per_100=" +
+                  std::to_string(std::llround(one.evidence * evidence_scale)) +
+                  " left_ms=" + std::to_string(one.remaining.count()));
+    }
+}
+
 void core_process::confirm_leadership(base::instant now)
 {
     const bool is_needed = settings_.revocation_limit || has_running_rollout();
@@ -280,6 +296,7 @@
     if (host_.is_leader()) {
         confirm_leadership(now);
         end_rollouts();
+        log_rollout_steps();
         if (const auto change = keeper_.next_change(host_.status(), now)) {
             const std::string refused = host_.change_membership(*change);
             if (refused.empty()) {
@@ -388,9 +405,13 @@
     set("curranthoist_list_age_ms", "Since the last reading of the list by this process",
         sessions_.listing_age().count());
     traffic_.publish(requests_.metrics());
-    // Other members have no accounts.
-    return requests_.metrics().prometheus_text() +
-           (host_.is_leader() ? team_metrics(sessions_.team_standings()) : "");
+    std::string result = requests_.metrics().prometheus_text();
+    // Other members have no accounts and judge no roll-outs.
+    if (host_.is_leader()) {
+        result += team_metrics(sessions_.team_standings());
+        result += rollout_metrics(sessions_.rollout_standings());
+    }
+    return result;
 }
 
 } // namespace curranthoist::cored
--- a/curranthoist/cored/core_process.hpp
+++ b/curranthoist/cored/core_process.hpp
@@ -69,6 +69,7 @@
     [[nodiscard]] bool has_running_rollout() const;
     // Proposes the ends of roll-outs that are judged.
     void end_rollouts();
+    void log_rollout_steps();
     void on_tick(ev::timer& watcher, int events);
     void on_stop_timer(ev::timer& watcher, int events);
     void join_if_needed(base::instant now);
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -202,6 +202,18 @@
     return judges_.take_decisions(now);
 }
 
+std::vector<rollout_standing> front_sessions::rollout_standings() const
+{
+    std::vector<rollout_standing> result = judges_.standings();
+    // The judges learn of an end only with the next judgement.
+    std::erase_if(result, [this](const rollout_standing& one) {
+        const auto stored = state_.rollouts().find(base::service_id(one.service));
+        return stored == state_.rollouts().end() ||
+               stored->second.phase != deployment::rollout_phase::running;
+    });
+    return result;
+}
+
 std::optional<std::string>
 front_sessions::listed_version(const base::service_id& service,
                                const std::string& target_version) const
--- a/curranthoist/cored/front_sessions.hpp
+++ b/curranthoist/cored/front_sessions.hpp
@@ -109,6 +109,13 @@
     // often on the leader of `term`.
     [[nodiscard]] std::vector<rollout_judges::decision>
     judge_rollouts(std::uint64_t term);
+    // Of the roll-outs that this process judges and that the state has running.
+    [[nodiscard]] std::vector<rollout_standing> rollout_standings() const;
+    // Returns those whose step has changed since the last call.
+    [[nodiscard]] std::vector<rollout_standing> take_rollout_steps()
+    {
+        return judges_.take_steps();
+    }
     // Returns the version of most of the service's listed targets other than
     // `target_version`; empty if there is no such target, nullopt without a listing.
     [[nodiscard]] std::optional<std::string>
--- a/curranthoist/cored/rollout_judge.cpp
+++ b/curranthoist/cored/rollout_judge.cpp
@@ -54,37 +54,42 @@
 // The rate of requests is known after this time.
 constexpr base::duration min_rate_time{800};
 
-double roll_back_bound()
-{
-    return std::log((1 - bad_accepted) / good_rolled_back);
-}
-
-double accept_bound()
+base::duration part_of(base::duration whole, double part)
 {
-    return std::log(bad_accepted / (1 - good_rolled_back));
+    return base::duration(
+        static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
 }
 
 // Half of the evidence that rolls a version back. A single bad answer of a good version
 // stays below; at small shares it would otherwise hold up the roll-out for seconds.
 double suspect_bound()
 {
-    return roll_back_bound() / 2;
+    return rollout_judge::roll_back_bound() / 2;
 }
 
 // Answers without a bad one that accept a version, if the old one's are rarely bad.
 double answers_to_accept()
 {
-    return accept_bound() /
+    return rollout_judge::accept_bound() /
            std::log((1 - min_usual_bad - bad_share_difference) / (1 - min_usual_bad));
 }
 
-base::duration part_of(base::duration whole, double part)
+} // namespace
+
+double rollout_judge::roll_back_bound()
 {
-    return base::duration(
-        static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
+    return std::log((1 - bad_accepted) / good_rolled_back);
 }
 
-} // namespace
+double rollout_judge::accept_bound()
+{
+    return std::log(bad_accepted / (1 - good_rolled_back));
+}
+
+std::span<const double> rollout_judge::plan()
+{
+    return share_steps;
+}
 
 rollout_judge::rollout_judge(options judge_options, base::duration remaining,
                              base::instant now)
--- a/curranthoist/cored/rollout_judge.hpp
+++ b/curranthoist/cored/rollout_judge.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 
 namespace curranthoist::cored {
 
@@ -43,6 +44,16 @@
     [[nodiscard]] double share() const;
     // The logarithm of the likelihood that the version is bad over that of a good one.
     [[nodiscard]] double evidence() const { return evidence_; }
+    // Bounds of the evidence: at or above the first one the version is rolled back, at or
+    // below the second one it is accepted.
+    [[nodiscard]] static double roll_back_bound();
+    [[nodiscard]] static double accept_bound();
+    // The step of the share, from 1.
+    [[nodiscard]] std::size_t step() const { return step_ + 1; }
+    // The shares of all steps.
+    [[nodiscard]] static std::span<const double> plan();
+    // Until the deadline, at the last update.
+    [[nodiscard]] base::duration rest() const { return remaining_ - elapsed_; }
     [[nodiscard]] counts ordered_total() const { return ordered_; }
     [[nodiscard]] counts old_total() const { return old_; }
 
--- a/curranthoist/cored/rollout_judges.cpp
+++ b/curranthoist/cored/rollout_judges.cpp
@@ -126,6 +126,48 @@
     return result;
 }
 
+rollout_standing rollout_judges::standing(const running_rollout& one)
+{
+    rollout_standing result;
+    result.service = one.order.service.str();
+    result.target_version = one.order.target_version;
+    result.base_version = one.order.base_version;
+    result.share = one.judge.share();
+    result.step = one.judge.step();
+    result.plan = rollout_judge::plan();
+    result.ordered = one.judge.ordered_total();
+    result.old = one.judge.old_total();
+    result.evidence = one.judge.evidence();
+    result.roll_back_bound = rollout_judge::roll_back_bound();
+    result.accept_bound = rollout_judge::accept_bound();
+    result.remaining = one.judge.rest();
+    for (const auto& [front, report] : one.fronts) {
+        result.open_at_old += report.open_at_old;
+    }
+    return result;
+}
+
+std::vector<rollout_standing> rollout_judges::standings() const
+{
+    std::vector<rollout_standing> result;
+    for (const auto& [service, one] : running_) {
+        result.push_back(standing(one));
+    }
+    return result;
+}
+
+std::vector<rollout_standing> rollout_judges::take_steps()
+{
+    std::vector<rollout_standing> result;
+    for (auto& [service, one] : running_) {
+        if (one.named_step != one.judge.step()) {
+            one.named_step = one.judge.step();
+            result.push_back(standing(one));
+        }
+    }
+    return result;
+}
+
 void rollout_judges::clear()
 {
     running_.clear();
--- a/curranthoist/cored/rollout_judges.hpp
+++ b/curranthoist/cored/rollout_judges.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "curranthoist/cored/rollout_judge.hpp"
+#include "curranthoist/cored/rollout_standing.hpp"
 #include "curranthoist/deployment/rollout.hpp"
 #include "curranthoist/deployment/rollout_share.hpp"
 #include "curranthoist/deployment/version_answers.hpp"
@@ -50,6 +51,10 @@
     // stop at a completion, so it waits until no front that reports sends to them or
     // awaits an answer of them, or until it must be committed.
     [[nodiscard]] std::vector<decision> take_decisions(base::instant now);
+    [[nodiscard]] std::vector<rollout_standing> standings() const;
+    // Returns the standings of the roll-outs whose step differs from what the last call
+    // returned.
+    [[nodiscard]] std::vector<rollout_standing> take_steps();
     // Forgets everything, for a process that begins to lead.
     void clear();
 
@@ -69,8 +74,12 @@
         // The last counts of each front, by version.
         std::map<std::pair<std::string, std::string>, rollout_judge::counts> last = {};
         std::map<std::string, front_report> fronts = {};
+        // 0 before the first one was named.
+        std::size_t named_step = 0;
     };
 
+    [[nodiscard]] static rollout_standing standing(const running_rollout& one);
+
     [[nodiscard]] static bool is_due(const running_rollout& one, base::instant now);
 
     rollout_judge::options options_;
--- a/curranthoist/ctl/main.cpp
+++ b/curranthoist/ctl/main.cpp
@@ -2,6 +2,7 @@
 #include "curranthoist/base/findings_error.hpp"
 #include "curranthoist/ctl/check_command.hpp"
 #include "curranthoist/ctl/commands.hpp"
+#include "curranthoist/ctl/rollout_command.hpp"
 #include "curranthoist/ctl/story.hpp"
 #include "curranthoist/ctl/team_command.hpp"
 
@@ -29,7 +30,7 @@
      again with the same --intent-id
   6  not confirmed
   7  explain: no such decision is kept; story: no line names the request;
-     team: no process that answered knows it
+     team, rollout: no process that answered knows it
   8  check: the document has errors, so the core would refuse it
   9  check: the document or the one in force can't be read)";
 
@@ -50,7 +51,7 @@
 {
     app.add_option("--control", chosen.controls,
                    "address:port of a control process; repeat it for each of them. Every "
-                   "command but story, check and team needs it")
+                   "command but story, check, team and rollout needs it")
         ->check(check_control);
     app.add_option("--operator", chosen.operator_name, "Who decides; needed by apply");
     app.add_option("--intent-id", chosen.intent_id,
@@ -72,6 +73,9 @@
     if (name == "team") {
         return curranthoist::ctl::show_team(chosen);
     }
+    if (name == "rollout") {
+        return curranthoist::ctl::show_rollout(chosen);
+    }
     commands all(chosen);
     if (name == "plan") {
         return all.plan();
@@ -126,13 +130,22 @@
                      "process and front")
         ->required()
         ->check(check_control);
+    auto* rollout = app.add_subcommand(
+        "rollout", "Show a service's running roll-out and what it is judged by");
+    rollout->add_option("service", chosen.subject, "The service's name")->required();
+    rollout
+        ->add_option("--metrics", chosen.metrics,
+                     "address:port of a core process's metrics; repeat it for each")
+        ->required()
+        ->check(check_control);
     try {
         app.parse(argc, argv);
         if (!chosen.against.empty() && !chosen.controls.empty()) {
             throw CLI::ExcludesError("--against", "--control");
         }
-        if (!story->parsed() && !check->parsed() && !team->parsed() &&
-            chosen.controls.empty()) {
+        const bool reads_no_control =
+            story->parsed() || check->parsed() || team->parsed() || rollout->parsed();
+        if (!reads_no_control && chosen.controls.empty()) {
             throw CLI::RequiredError("--control");
         }
         if (apply->parsed() && chosen.operator_name.empty()) {
--- a/curranthoist/ctl/options.hpp
+++ b/curranthoist/ctl/options.hpp
@@ -19,9 +19,10 @@
     std::vector<std::string> words;
     // A file with one intent or a list of them.
     std::string file;
-    // "address:port" of processes' metrics, for `team`.
+    // "address:port" of processes' metrics, for `team` and `rollout`.
     std::vector<std::string> metrics;
-    // For `explain`, `story`, `check` and `team`: a decision, a request, a file, a team.
+    // For `explain`, `story`, `check`, `team` and `rollout`: a decision, a request, a
+    // file, a team, a service.
     std::string subject;
     // For `check`: a file with the document in force.
     std::string against;
--- a/curranthoist/ctl/team_command.cpp
+++ b/curranthoist/ctl/team_command.cpp
@@ -1,6 +1,6 @@
 #include "curranthoist/ctl/team_command.hpp"
 
-#include "curranthoist/ctl/control_client.hpp"
+#include "curranthoist/ctl/metrics_source.hpp"
 #include "curranthoist/ctl/team_report.hpp"
 
 #include <nlohmann/json.hpp>
@@ -11,22 +11,10 @@
 
 exit_code show_team(const options& chosen)
 {
-    constexpr long ok = 200;
     team_report report;
     report.team = chosen.subject;
-    exit_code result = exit_code::done;
-    for (const std::string& address : chosen.metrics) {
-        control_client client({address});
-        const auto response = client.call("GET", "/metrics", "", base::duration());
-        if (response && response->status == ok) {
-            report.add(response->body);
-            continue;
-        }
-        std::cerr << "error: " << address << ": "
-                  << (response ? "status " + std::to_string(response->status) + "\n"
-                               : client.failures());
-        result = exit_code::unavailable;
-    }
+    const exit_code result = read_metrics(
+        chosen.metrics, [&report](std::string_view text) { report.add(text); });
     if (report.empty()) {
         std::cerr << "error: no process that answered knows the team\n";
         return result == exit_code::done ? exit_code::not_found : result;
--- a/curranthoist/ctl/team_report.cpp
+++ b/curranthoist/ctl/team_report.cpp
@@ -1,10 +1,11 @@
 #include "curranthoist/ctl/team_report.hpp"
 
+#include "curranthoist/ctl/metric_line.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <iomanip>
 #include <ostream>
 #include <utility>
@@ -30,56 +31,17 @@
     return static_cast<double>(milli) / thousandths;
 }
 
-// The value of a label; nothing if it is not there.
-std::optional<std::string_view> label(std::string_view labels, std::string_view name)
-{
-    const std::string begin = std::string(name) + "=\"";
-    const std::size_t at = labels.find(begin);
-    if (at == std::string_view::npos) {
-        return std::nullopt;
-    }
-    labels.remove_prefix(at + begin.size());
-    const std::size_t end = labels.find('"');
-    return end == std::string_view::npos ? std::nullopt
-                                         : std::optional(labels.substr(0, end));
-}
-
-// One line: name{labels} value.
-struct metric_line
-{
-    std::string_view name;
-    std::string_view labels;
-    std::int64_t value = 0;
-};
-
-std::optional<metric_line> parse_line(std::string_view line)
-{
-    const std::size_t open = line.find('{');
-    const std::size_t close = line.rfind("} ");
-    if (open == std::string_view::npos || close == std::string_view::npos ||
-        close < open) {
-        return std::nullopt;
-    }
-    const std::string_view number = line.substr(close + 2);
-    metric_line result{line.substr(0, open), line.substr(open + 1, close - open - 1), 0};
-    const auto parsed =
-        std::from_chars(number.data(), number.data() + number.size(), result.value);
-    return parsed.ec == std::errc() ? std::optional(result) : std::nullopt;
-}
-
 } // namespace
 
 void team_report::add(std::string_view metrics)
 {
     while (!metrics.empty()) {
-        const std::string_view line = metrics.substr(0, metrics.find('\n'));
-        metrics.remove_prefix(std::min(line.size() + 1, metrics.size()));
-        const auto one = parse_line(line);
-        if (!one || label(one->labels, "team") != team) {
+        const auto one = metric_line::parse(metric_line::take_line(metrics));
+        if (!one || one->label("team") != team) {
             continue;
         }
         if (one->name == outcomes_name) {
-            if (const auto outcome = label(one->labels, "outcome")) {
+            if (const auto outcome = one->label("outcome")) {
                 outcomes[std::string(*outcome)] += one->value;
             }
             continue;
--- a/curranthoist/testing/platform/rollout_path_test.cpp
+++ b/curranthoist/testing/platform/rollout_path_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace curranthoist::testing {
 namespace {
@@ -164,6 +165,43 @@
     EXPECT_LE(new_runs, exposure_share * (new_runs + old_runs) + exposure_slack);
 }
 
+// Guards against operators who don't see a running roll-out, from any list of members,
+// or see one that has ended as if it ran.
+TEST_F(rollout_path_test, operators_see_the_progress_and_what_decides)
+{
+    start_with_new_targets();
+    ASSERT_TRUE(wait_until([&] { return order("single", "v2") == 200U; }));
+    wait_until(
+        [&] {
+            ask_next();
+            return false;
+        },
+        base::duration(duration_s * 1000 / 3));
+    std::vector<std::string> arguments{"rollout", "single"};
+    for (const std::string& vm : vms_) {
+        arguments.insert(arguments.end(),
+                         {"--metrics", vm + ":" + std::to_string(core_metrics_port)});
+    }
+    child_process& running = start("curranthoist-ctl", arguments);
+    EXPECT_EQ(running.wait_for_exit(), 0);
+    const std::string printed = running.output();
+    EXPECT_NE(printed.find(" -> v2\n  plan: 2% 5% "), std::string::npos) << printed;
+    EXPECT_EQ(printed.find("v2: 0 answers"), std::string::npos) << printed;
+    EXPECT_EQ(send_until_ended(), "completed");
+    child_process& ended = start("curranthoist-ctl", arguments);
+    EXPECT_EQ(ended.wait_for_exit(), 7) << ended.output();
+    std::string log;
+    for (const child_process* core : cores_) {
+        log += core->output();
+    }
+    for (const char* const step : {" step=1 of=6", " step=3 of=6", " step=6 of=6"}) {
+        EXPECT_NE(
+            log.find("event=rollout_step service=single version=v2" + std::string(step)),
+            std::string::npos)
+            << step;
+    }
+}
+
 // Guards against a wrong order that is acknowledged, a repeated one that is refused, and
 // an acknowledged one that is lost when all processes are killed.
 TEST_F(rollout_path_test, orders_are_checked_and_outlive_the_processes)
