Start the accounts of teams anew with each term

A leader that lost its office and regained it with the same configuration kept its accounts, whose credit had grown meanwhile, although teams had used it under another leader. The accounts are dropped when a process becomes the leader. team_accounts_test checks that teams that were dropped start without their burst; that the process drops them has no test.

--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -199,6 +199,9 @@
     if (leads) {
         // What was applied before it led was sent to nobody.
         sessions_.on_state_change();
+        // Accounts of an earlier term lack what was admitted under other leaders.
+        sessions_.set_teams({});
+        teams_version_ = 0;
         update_teams();
     }
     if (!reader_) {
