--- a/curranthoist/testing/platform/greedy_callers_test.cpp
+++ b/curranthoist/testing/platform/greedy_callers_test.cpp
@@ -222,6 +222,7 @@
                 std::string(std::size_t{15} * 1024, 'x'),
         };
         std::vector<greedy_plan> result;
+        result.reserve(sent.size() + 1);
         for (const std::string& bytes : sent) {
             result.push_back({.server = front(),
                               .connections = crowd_size,
