--- a/curranthoist/frontd/process_limits.cpp
+++ b/curranthoist/frontd/process_limits.cpp
@@ -13,7 +13,7 @@
 // Descriptors that the platform keeps for files.
 constexpr std::size_t reserved_descriptors = 200;
 // For the program itself, its libraries, the configuration and the lists.
-constexpr std::size_t program_bytes = std::size_t{12} * 1024 * 1024;
+constexpr std::size_t program_bytes = std::size_t{16} * 1024 * 1024;
 // The part of the shared memory that callers' connections may take.
 constexpr std::size_t caller_memory_divisor = 4;
 // The part that the bodies of targets' responses may fill.
--- a/curranthoist/platform/process_shell.hpp
+++ b/curranthoist/platform/process_shell.hpp
@@ -3,6 +3,7 @@
 #include "curranthoist/base/exit_status.hpp"
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/http/metrics_server.hpp"
+#include "curranthoist/platform/large_buffers.hpp"
 #include "curranthoist/platform/node_settings.hpp"
 
 #include <CLI/CLI.hpp>
@@ -163,6 +164,7 @@
 {
     using namespace internal;
     held_signals held;
+    return_large_buffers();
     CLI::App app(program.purpose, program.name);
     std::string file;
     std::string level = "info";
