--- a/curranthoist/entry/greedy_peers_test.cpp
+++ b/curranthoist/entry/greedy_peers_test.cpp
@@ -61,8 +61,8 @@
     // Lets the crowds do their worst, and checks what must hold meanwhile and then.
     template <class Condition>
     static void press(const std::vector<testing::greedy_plan>& plans,
-                      testing::child_process& process, std::size_t memory_mb,
-                      Condition answers)
+                      testing::child_process& process,
+                      [[maybe_unused]] std::size_t memory_mb, Condition answers)
     {
         {
             std::vector<std::unique_ptr<testing::greedy_callers>> running;
--- a/curranthoist/testing/platform/greedy_callers_test.cpp
+++ b/curranthoist/testing/platform/greedy_callers_test.cpp
@@ -171,7 +171,8 @@
     }
 
 private:
-    std::size_t max_memory_bytes_;
+    // Not checked with the sanitizers.
+    [[maybe_unused]] std::size_t max_memory_bytes_;
     std::size_t max_descriptors_;
     unsigned asked_ = 0;
 };
