--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -333,14 +333,14 @@
         self.note("read_back", version=None, after_s=limit_s)
         return None
 
-    def send_requests(self, count, tag, headers=None, at_once=1):
+    def send_requests(self, count, tag, headers=None, at_once=1, path="/orders/"):
         """Sends requests to the machines in turn; returns how many were served."""
         names = list(self.machines)
 
         def send(number):
             machine, attempt = names[number % len(names)], f"{tag}-{number}"
             status, answered, _ = self.call(
-                self.machines[machine], self.CALLERS, "POST", f"/orders/{number}", "one drum",
+                self.machines[machine], self.CALLERS, "POST", f"{path}{number}", "one drum",
                 {"Host": HOST, "Attempt-Id": attempt, "Deadline-Milliseconds": "3000",
                  **(headers or {})}, 3.5)
             self.note("request", machine=machine, attempt=attempt, status=status)
