Give the case of two founders more time on a slow machine

Cause: the second log takes orders 0.6 s before the two machines are back, and the stand-in of the operator could pause for a second.

--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -324,7 +324,7 @@
                 self.note("order_answered", version=version, status=status)
                 return status
             time.sleep(wait)
-            wait = min(1.0, wait * 2)
+            wait = min(0.5, wait * 2)
         self.note("order_unanswered", version=version, after_s=limit_s)
         return 0
 
