Tell an empty list of teams from an absent one

Callers saw: after a configuration with an empty list of teams, which withdrew the only key, requests with that key ran, and so did those with keys that were never held.

Cause: the decoder gave the same empty list for a document with an empty list and for one without the field, and the front took it for "requests carry no keys" in its admission, its readiness and its reports.

Ruled out: a version that did not arrive (version 2 was read back and in force on all fronts) and a lease that was renewed wrongly (nothing was refused at all). The log line configuration_in_force could not tell the two lists apart; it now has the number of teams or "absent".

Change: configuration::teams is optional, and team_table::requires_keys() is the one question about it. A null list is refused: it was read as absent. The leader reads teams under an escaped field name too, as fronts did.

--- a/curranthoist/ctl/report_views.cpp
+++ b/curranthoist/ctl/report_views.cpp
@@ -83,7 +83,8 @@
 void print_change(std::ostream& out, const entry_change& change)
 {
     out << kind_name(change.kind) << " " << part_name(change.part);
-    if (change.part != configuration_part::limits) {
+    if (change.part != configuration_part::limits &&
+        change.part != configuration_part::whole) {
         out << " '" << printable(change.name) << "'";
     }
     out << "\n";
--- a/curranthoist/deployment/configuration.hpp
+++ b/curranthoist/deployment/configuration.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,8 +45,9 @@
     std::vector<route> routes;
     std::map<base::service_id, service_limits> services;
     caller_limits limits;
-    // Empty if requests carry no keys.
-    std::vector<team> teams;
+    // Absent if requests carry no keys. An empty list is something else: requests carry
+    // keys then, and no key is known.
+    std::optional<std::vector<team>> teams;
 };
 
 } // namespace curranthoist::deployment
--- a/curranthoist/deployment/configuration_check.cpp
+++ b/curranthoist/deployment/configuration_check.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -53,9 +54,8 @@
             current_.service = id.str();
             check_service(id, limits);
         }
-        for (std::size_t i = 0; i < checked_.teams.size(); ++i) {
-            begin(configuration_part::team, i);
-            check_team(checked_.teams[i]);
+        if (checked_.teams) {
+            check_teams(*checked_.teams);
         }
         begin(configuration_part::limits, 0);
         check_limits();
@@ -208,6 +208,18 @@
                     ", which one VM needs to replace a connection that is closing");
         }
     }
+    void check_teams(std::span<const team> teams)
+    {
+        begin(configuration_part::whole, 0);
+        if (teams.empty()) {
+            add(field::teams,
+                "is empty, so no key is known and only public routes serve requests");
+        }
+        for (std::size_t i = 0; i < teams.size(); ++i) {
+            begin(configuration_part::team, i);
+            check_team(teams[i]);
+        }
+    }
     void check_team(const team& one)
     {
         if (one.keys.empty()) {
--- a/curranthoist/deployment/configuration_check_test.cpp
+++ b/curranthoist/deployment/configuration_check_test.cpp
@@ -30,7 +30,8 @@
                                               .max_connections = 26,
                                               .cold_time = base::duration(),
                                               .cold_requests_per_second = 0};
-    result.teams = {{.name = "t", .keys = {"secret"}, .rate = 5, .burst = 1}};
+    result.teams =
+        std::vector<team>{{.name = "t", .keys = {"secret"}, .rate = 5, .burst = 1}};
     return result;
 }
 
@@ -144,9 +145,9 @@
 TEST(configuration_check_test, teams_that_cannot_send_are_remarked)
 {
     configuration checked = make_configuration();
-    checked.teams[0].burst = 0.9;
-    checked.teams.push_back({.name = "u", .keys = {}});
-    checked.teams.push_back({.name = "v", .keys = {"hidden"}, .burst = 3});
+    checked.teams->at(0).burst = 0.9;
+    checked.teams->push_back({.name = "u", .keys = {}});
+    checked.teams->push_back({.name = "v", .keys = {"hidden"}, .burst = 3});
     EXPECT_EQ(fields_of(checked),
               (fields{{0, field::burst}, {1, field::keys}, {2, field::burst}}));
     for (const configuration_remark& one : check_configuration(checked)) {
@@ -155,6 +156,15 @@
     }
 }
 
+// Guards against a last team that is taken out unnoticed, with which all callers lose
+// their access.
+TEST(configuration_check_test, an_empty_list_of_teams_is_remarked)
+{
+    configuration checked = make_configuration();
+    checked.teams->clear();
+    EXPECT_EQ(fields_of(checked), (fields{{0, field::teams}}));
+}
+
 // Guards against limits that a VM does not carry although the document states them.
 TEST(configuration_check_test, limits_that_no_vm_carries_are_remarked)
 {
--- a/curranthoist/deployment/configuration_diff.cpp
+++ b/curranthoist/deployment/configuration_diff.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -204,6 +205,16 @@
     return one.keys.size();
 }
 
+std::string presence(const std::optional<std::vector<team>>& teams)
+{
+    return teams ? "present" : "absent";
+}
+
+std::span<const team> listed(const std::optional<std::vector<team>>& teams)
+{
+    return teams ? std::span<const team>(*teams) : std::span<const team>();
+}
+
 bool is_empty(const entry_change& one)
 {
     return one.fields.empty() && one.keys_added == 0 && one.keys_withdrawn == 0;
@@ -249,8 +260,14 @@
                 by_name<route>(after.routes), result);
     compare_all(configuration_part::service, by_name(before.services),
                 by_name(after.services), result);
-    compare_all(configuration_part::team, by_name<team>(before.teams),
-                by_name<team>(after.teams), result);
+    entry_change whole{.part = configuration_part::whole, .name = {}, .fields = {}};
+    field_comparison(whole).add(field::teams, presence(before.teams),
+                                presence(after.teams));
+    if (!is_empty(whole)) {
+        result.push_back(std::move(whole));
+    }
+    compare_all(configuration_part::team, by_name<team>(listed(before.teams)),
+                by_name<team>(listed(after.teams)), result);
     entry_change limits{.part = configuration_part::limits, .name = {}, .fields = {}};
     compare(before.limits, after.limits, limits);
     if (!is_empty(limits)) {
--- a/curranthoist/deployment/configuration_diff_test.cpp
+++ b/curranthoist/deployment/configuration_diff_test.cpp
@@ -25,7 +25,7 @@
     configuration result;
     result.routes = {make_route("one"), make_route("two")};
     result.services[base::service_id("s")] = {};
-    result.teams = {{.name = "t", .keys = {"k1", "k2"}}};
+    result.teams = std::vector<team>{{.name = "t", .keys = {"k1", "k2"}}};
     return result;
 }
 
@@ -47,7 +47,7 @@
     configuration after = make_configuration();
     after.routes[1] = make_route("three");
     after.services[base::service_id("x")] = {};
-    after.teams = {{.name = "u", .keys = {"k3"}}};
+    after.teams = std::vector<team>{{.name = "u", .keys = {"k3"}}};
     const auto changes = compare_configurations(before, after);
     ASSERT_EQ(changes.size(), 5U);
     EXPECT_EQ(changes[0].name, "two");
@@ -101,12 +101,27 @@
     EXPECT_EQ(changes[0].fields[0].after, "2 shards in another order");
 }
 
+// Guards against a comparison in which a configuration that requires keys and one that
+// requires none look alike.
+TEST(configuration_diff_test, a_list_of_teams_that_is_left_out_is_told)
+{
+    configuration before = make_configuration();
+    before.teams->clear();
+    configuration after = before;
+    after.teams.reset();
+    const auto changes = compare_configurations(before, after);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes[0].part, configuration_part::whole);
+    EXPECT_EQ(changes[0].fields,
+              (std::vector<field_change>{{field::teams, "present", "absent"}}));
+}
+
 // Guards against keys in the output.
 TEST(configuration_diff_test, keys_are_counted_and_never_told)
 {
     const configuration before = make_configuration();
     configuration after = make_configuration();
-    after.teams[0].keys = {"k2", "k3", "k4"};
+    after.teams->at(0).keys = {"k2", "k3", "k4"};
     const auto changes = compare_configurations(before, after);
     ASSERT_EQ(changes.size(), 1U);
     EXPECT_EQ(changes[0].keys_added, 2U);
--- a/curranthoist/deployment/configuration_field.hpp
+++ b/curranthoist/deployment/configuration_field.hpp
@@ -11,6 +11,8 @@
     // The entry as a whole.
     entry,
     version,
+    // The list of teams as a whole.
+    teams,
     name,
     host,
     path_prefix,
--- a/curranthoist/deployment/team_table.cpp
+++ b/curranthoist/deployment/team_table.cpp
@@ -21,10 +21,10 @@
 
 } // namespace
 
-team_table::team_table(std::span<const team> teams)
-    : teams_(teams)
+team_table::team_table(std::optional<std::span<const team>> teams)
+    : requires_keys_(teams.has_value())
 {
-    for (const team& one : teams_) {
+    for (const team& one : teams.value_or(std::span<const team>())) {
         for (const std::string& key : one.keys) {
             keys_.emplace(std::hash<std::string_view>()(key), held_key{key, &one});
         }
--- a/curranthoist/deployment/team_table.hpp
+++ b/curranthoist/deployment/team_table.hpp
@@ -3,6 +3,7 @@
 #include "curranthoist/deployment/team.hpp"
 
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -17,14 +18,14 @@
 class team_table
 {
 public:
-    // Refers to the teams, which must outlive it.
-    explicit team_table(std::span<const team> teams);
+    // Refers to the teams, which must outlive it. Without a list of teams requests carry
+    // no keys; with an empty one they do, and no key is known.
+    explicit team_table(std::optional<std::span<const team>> teams);
 
     // The team of the key, or null if no team holds it.
     [[nodiscard]] const team* find(std::string_view key) const;
-    // True if there are no teams: requests carry no keys then.
-    [[nodiscard]] bool empty() const { return teams_.empty(); }
-    [[nodiscard]] std::span<const team> teams() const { return teams_; }
+    // True if a request is served only with the key of a team, or on a public route.
+    [[nodiscard]] bool requires_keys() const { return requires_keys_; }
 
 private:
     struct held_key
@@ -33,7 +34,7 @@
         const team* holder;
     };
 
-    std::span<const team> teams_;
+    bool requires_keys_;
     std::unordered_multimap<std::size_t, held_key> keys_;
 };
 
--- a/curranthoist/deployment/team_table_test.cpp
+++ b/curranthoist/deployment/team_table_test.cpp
@@ -19,7 +19,18 @@
     for (const char* const unknown : {"", "key-", "key-4", "key-33", "KEY-1"}) {
         EXPECT_EQ(table.find(unknown), nullptr) << unknown;
     }
-    EXPECT_TRUE(team_table({}).empty());
+    EXPECT_TRUE(table.requires_keys());
+}
+
+// Guards against a configuration whose last team was taken out and that admits every
+// request, as one without a list of teams does.
+TEST(team_table_test, an_empty_list_of_teams_requires_keys_and_knows_none)
+{
+    const team_table emptied{std::span<const team>()};
+    EXPECT_TRUE(emptied.requires_keys());
+    EXPECT_EQ(emptied.find("key-1"), nullptr);
+    EXPECT_EQ(emptied.find(""), nullptr);
+    EXPECT_FALSE(team_table(std::nullopt).requires_keys());
 }
 
 } // namespace
--- a/curranthoist/frontd/core_updates.cpp
+++ b/curranthoist/frontd/core_updates.cpp
@@ -78,13 +78,15 @@
     // requests of teams or of roll-outs to report.
     on.may_report_rarely = [this] {
         return !links_.gatherers().empty() && !state_.context.gathers &&
-               state_.configuration.current() && state_.newest_table().teams().empty() &&
+               state_.configuration.current() &&
+               !state_.newest_table().teams().requires_keys() &&
                state_.context.directory.versions().answers().empty();
     };
     on.zone_cost = zone_cost_;
     on.team_uses = [this] { return state_.team_admission.report_uses(); };
     on.wanted_report_interval = [this]() -> std::optional<base::duration> {
-        if (!state_.configuration.current() || state_.newest_table().teams().empty()) {
+        if (!state_.configuration.current() ||
+            !state_.newest_table().teams().requires_keys()) {
             return std::nullopt;
         }
         return state_.team_admission.wanted_report_interval();
@@ -123,7 +125,8 @@
             state_.configuration.current(), &now);
         on_configuration_(now);
         log_.info("event=configuration_in_force version=" + std::to_string(now.version) +
-                  " routes=" + std::to_string(now.routes.size()));
+                  " routes=" + std::to_string(now.routes.size()) +
+                  " teams=" + (now.teams ? std::to_string(now.teams->size()) : "absent"));
     }
 }
 
--- a/curranthoist/frontd/front_process.cpp
+++ b/curranthoist/frontd/front_process.cpp
@@ -170,7 +170,7 @@
     }
     // A lease that ended later leaves the VM ready: public routes go on, and the other
     // VMs most likely have lost the core as well.
-    return state_.newest_table().teams().empty() || state_.key_lease.has_begun();
+    return !state_.newest_table().teams().requires_keys() || state_.key_lease.has_begun();
 }
 
 std::string front_process::metrics_text()
--- a/curranthoist/frontd/request_admission.cpp
+++ b/curranthoist/frontd/request_admission.cpp
@@ -83,7 +83,7 @@
                                    const http::responder& answer)
 {
     const deployment::team_table& teams = state_.newest_table().teams();
-    if (teams.empty()) {
+    if (!teams.requires_keys()) {
         platform::keep_team_headers(request);
         return true;
     }
--- a/curranthoist/platform/configuration_document.cpp
+++ b/curranthoist/platform/configuration_document.cpp
@@ -135,7 +135,10 @@
         }
         each(fields, "services", [this](field_reader& one) { add_service(one); });
         each(fields, "routes", [this](field_reader& one) { add_route(one); });
-        if (fields.find("tenants") != nullptr) {
+        // A null is refused and not taken for an absent list: writers that mean an empty
+        // list send it, and an absent one would admit every request.
+        if (body.contains("tenants")) {
+            result_.teams.emplace();
             each(fields, "tenants", [this](field_reader& one) { add_team(one); });
         }
         if (const json* limits = fields.find("limits")) {
@@ -253,7 +256,7 @@
                 add_key(fields, one, key);
             }
         }
-        result_.teams.push_back(std::move(one));
+        result_.teams->push_back(std::move(one));
     }
     // Findings don't repeat the key, since they are logged.
     void add_key(field_reader& fields, deployment::team& holder, const json& key)
@@ -312,11 +315,13 @@
 
 std::vector<deployment::team> decode_teams(std::string_view document)
 {
-    // Most deployments have none, and their documents are long.
-    if (document.find("\"tenants\"") == std::string_view::npos) {
+    // Most deployments have none, and their documents are long. JSON may spell a name
+    // with escaped letters.
+    if (document.find("\"tenants\"") == std::string_view::npos &&
+        document.find("\\u") == std::string_view::npos) {
         return {};
     }
-    return decode_configuration(document).teams;
+    return decode_configuration(document).teams.value_or(std::vector<deployment::team>());
 }
 
 deployment::configuration decode_configuration(std::string_view document)
--- a/curranthoist/platform/configuration_document.hpp
+++ b/curranthoist/platform/configuration_document.hpp
@@ -12,9 +12,10 @@
 // two routes with one host and prefix, weights that add up to 0, a time limit of 0, two
 // teams with one key.
 //
-// Fields that this deployment does not explain are ignored.
+// A document with an empty list of teams requires keys and knows none; only one without
+// the field requires none. Fields that this deployment does not explain are ignored.
 deployment::configuration decode_configuration(std::string_view document);
-// Its teams alone; cheap if it has none.
+// Its teams alone, none if it has no list of teams; cheap then.
 std::vector<deployment::team> decode_teams(std::string_view document);
 
 } // namespace curranthoist::platform
--- a/curranthoist/platform/configuration_document_test.cpp
+++ b/curranthoist/platform/configuration_document_test.cpp
@@ -143,14 +143,46 @@
     const auto read = decode_configuration(
         with_teams(R"({"name":"a","api_keys":["k1","k2"],"priority":1,"rate_per_s":17,)"
                    R"("burst":4.5},{"name":"b"})"));
-    ASSERT_EQ(read.teams.size(), 2U);
-    EXPECT_EQ(read.teams[0], (deployment::team{"a", {"k1", "k2"}, 1, 17, 4.5}));
-    EXPECT_EQ(read.teams[1], (deployment::team{"b", {}, 0, 0, 0}));
-    EXPECT_FALSE(read.teams[1].is_limited());
+    ASSERT_TRUE(read.teams);
+    ASSERT_EQ(read.teams->size(), 2U);
+    EXPECT_EQ(read.teams->at(0), (deployment::team{"a", {"k1", "k2"}, 1, 17, 4.5}));
+    EXPECT_EQ(read.teams->at(1), (deployment::team{"b", {}, 0, 0, 0}));
+    EXPECT_FALSE(read.teams->at(1).is_limited());
     EXPECT_TRUE(read.routes[0].is_public);
     EXPECT_TRUE(decode_teams(document(route(R"("service":"s")"))).empty());
 }
 
+// Guards against an empty list of teams that is read as none, so that every request is
+// admitted without a key.
+TEST(configuration_document_test, an_empty_list_of_teams_is_told_from_an_absent_one)
+{
+    const auto emptied = decode_configuration(with_teams(""));
+    ASSERT_TRUE(emptied.teams);
+    EXPECT_TRUE(emptied.teams->empty());
+    EXPECT_FALSE(decode_configuration(document(route(R"("service":"s")"))).teams);
+}
+
+// Guards against a null that is read as an absent list: writers that mean an empty list
+// send it.
+TEST(configuration_document_test, a_null_list_of_teams_is_a_finding)
+{
+    const std::string text = document(route(R"("service":"s")"));
+    EXPECT_NE(findings_of(text.substr(0, text.size() - 1) + R"(,"tenants":null})")
+                  .find("tenants"),
+              std::string::npos);
+}
+
+// Guards against limits that the fronts read and the leader does not, because it looks
+// for the field's name only as it is usually spelled.
+TEST(configuration_document_test, teams_under_an_escaped_name_are_read_alike)
+{
+    std::string text = with_teams(R"({"name":"a","api_keys":["k"],"rate_per_s":5})");
+    const std::string plain = "\"tenants\"";
+    text.replace(text.find(plain), plain.size(), "\"\\u0074enants\"");
+    ASSERT_TRUE(decode_configuration(text).teams);
+    EXPECT_EQ(decode_teams(text), *decode_configuration(text).teams);
+}
+
 // Guards against a key whose requests could run for either of two teams, and against keys
 // in findings, which are logged.
 TEST(configuration_document_test, a_key_of_two_teams_is_a_finding_that_does_not_name_it)
--- a/curranthoist/platform/configuration_review.cpp
+++ b/curranthoist/platform/configuration_review.cpp
@@ -89,6 +89,8 @@
         return "";
     case configuration_field::version:
         return "version";
+    case configuration_field::teams:
+        return "tenants";
     case configuration_field::name:
         return "name";
     case configuration_field::host:
--- a/curranthoist/testing/platform/team_test.cpp
+++ b/curranthoist/testing/platform/team_test.cpp
@@ -77,6 +77,40 @@
     }
 }
 
+// Guards against a configuration without its last team that lets every request in, and
+// passes keys and the callers' own team lines on to targets.
+TEST_F(team_test, without_its_last_team_a_configuration_takes_no_key)
+{
+    serve(with_teams(7, {"key-1"}));
+    ASSERT_TRUE(wait_until([&] { return order(0, "key-1", "before").status == 200U; }));
+    nlohmann::json emptied = with_teams(8, {"key-1"});
+    emptied["tenants"] = nlohmann::json::array();
+    ASSERT_TRUE(replace(emptied));
+    wait(revocation_limit);
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+        EXPECT_EQ(order(vm, "key-1", "withdrawn").status, 401U) << vm;
+        EXPECT_EQ(order(vm, "key-2", "unknown").status, 401U) << vm;
+        EXPECT_EQ(order(vm, "", "none").status, 401U) << vm;
+    }
+    EXPECT_EQ(platform_->runs_of("withdrawn") + platform_->runs_of("unknown") +
+                  platform_->runs_of("none"),
+              0U);
+    EXPECT_EQ(ask(0, "/l/1", "public").status, 200U);
+    EXPECT_EQ(version_read_back(), 8U);
+}
+
+// Guards against a list of teams that is sent as null and taken for none, which would let
+// every request in.
+TEST_F(team_test, a_null_list_of_teams_is_refused_and_changes_nothing)
+{
+    serve(with_teams(7, {"key-1"}));
+    nlohmann::json wanted = with_teams(8, {"key-1"});
+    wanted["tenants"] = nullptr;
+    EXPECT_TRUE(replace(wanted, 400));
+    EXPECT_EQ(version_read_back(), 7U);
+    EXPECT_EQ(order(0, "key-2", "unknown").status, 401U);
+}
+
 // Guards against a VM that was frozen while a key was withdrawn, and takes it once more
 // when it goes on.
 TEST_F(team_test, a_vm_that_was_frozen_takes_no_withdrawn_key)
