Let a member without its disk find the log while its seeds are down

Callers and operators saw: a member lost its disk while its three seeds were down, and never got back into the log.

Cause: a process with an empty disk asked only its seeds to be taken in. The other members knew its address from their log and dialed it, but their hello does not say where they are. Applications that reached it from members were not used either.

Ruled out: an unreachable process (the members log that another one is at the address) and a refused application (the leader logs no membership change and got no application).

Change: the hello between members has the sender's address. A process without a place asks those that dial it and those that send it an application. Members remember the addresses that the log has removed, and the leader tells them where it is: nobody dials them any more. An observer learns in the same way; a core process whose disk takes no writes knew only its seeds. The process still applies by itself, so that an observer with a full disk is not replaced.

--- a/curranthoist/consensus/host_options.hpp
+++ b/curranthoist/consensus/host_options.hpp
@@ -17,6 +17,12 @@
 {
     // Where other members and entry VMs connect.
     base::endpoint listen;
+    // Where other members reach this one, told to those that it dials; empty to tell
+    // nothing.
+    base::endpoint address;
+    // Receives where a member that dialed this process is reached; may be empty. A
+    // process that lost its disk learns of its peers in this way.
+    std::function<void(const base::endpoint&)> on_dialed_by;
     // Limits of the connections from them.
     wire::peer_account::limits accepted;
     base::zone_id zone;
--- a/curranthoist/consensus/internal/replica_host.hpp
+++ b/curranthoist/consensus/internal/replica_host.hpp
@@ -39,7 +39,7 @@
     , links_(
           loop,
           {replica_.self(), options_.zone, options_.incarnation, options_.listen,
-           options_.accepted, options_.traffic},
+           options_.accepted, options_.traffic, options_.address, options_.on_dialed_by},
           [this](const message_body& message) { on_peer_message(message); },
           std::move(on_entry))
     , timer_(loop)
--- a/curranthoist/consensus/peer_links.cpp
+++ b/curranthoist/consensus/peer_links.cpp
@@ -58,6 +58,9 @@
     hello.id = options_.self.str();
     hello.zone = options_.zone.str();
     hello.incarnation = options_.incarnation.value();
+    if (!options_.address.address.empty()) {
+        hello.member_address = options_.address.str();
+    }
     return hello;
 }
 
@@ -180,6 +183,12 @@
     std::erase_if(accepted_, [&](const auto& other) { return other->id == id; });
     peer.id = id;
     peer.zone = zone_of(hello);
+    const auto address = hello.member_address() == nullptr
+                             ? std::nullopt
+                             : base::endpoint::parse(hello.member_address()->str());
+    if (address && options_.on_dialed_by) {
+        options_.on_dialed_by(*address);
+    }
 }
 
 void peer_links::drop_accepted(const accepted_peer* peer)
--- a/curranthoist/consensus/peer_links.hpp
+++ b/curranthoist/consensus/peer_links.hpp
@@ -35,6 +35,12 @@
         // Counts what this member sends to others; null for nobody. Must outlive the
         // links.
         base::zone_traffic* traffic = nullptr;
+        // Where others reach this member, told to those that it dials; empty to tell
+        // nothing.
+        base::endpoint address = {};
+        // Receives where a member that dialed this process is reached, once for each of
+        // its connections; may be empty.
+        std::function<void(const base::endpoint&)> on_dialed_by = {};
     };
     using message_handler = std::function<void(const message_body&)>;
     // Receives the session of an entry VM and its hello, which is valid during the call.
--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -26,6 +26,9 @@
 constexpr base::duration join_after{1500};
 // After all processes were killed, observers wait for this.
 constexpr base::duration announce_interval{500};
+// Addresses of former members may be gone for good. Short enough for one that comes back
+// to have its place within the platform's time to catch up.
+constexpr base::duration former_announce_interval{1000};
 // Leadership is handed over within this time, or the process stops without.
 constexpr base::duration handover_limit{1000};
 constexpr double handover_poll_s = 0.02;
@@ -136,6 +139,8 @@
     });
     host_.set_leadership_handler([this](bool leads) { on_leadership(leads); });
     joiner_ = std::make_unique<join_client>(loop_, host_.status().self, own_peers());
+    requests_.set_applicant_handler(
+        [this](const base::endpoint& peers) { learn(peers); });
     if (settings_.list_address) {
         reader_ = std::make_unique<target_list_reader>(
             loop_, *settings_.list_address, settings_.list_calls_per_s,
@@ -169,6 +174,8 @@
     options.accepted = front_port_limits(settings_);
     // On the address where operators are served; others may reach it at another one.
     options.listen = {settings_.operators->address, settings_.first_internal_port};
+    options.address = own_peers();
+    options.on_dialed_by = [this](const base::endpoint& peers) { learn(peers); };
     options.zone = settings_.zone;
     options.incarnation =
         base::incarnation(static_cast<std::uint64_t>(base::wall_clock().now().count()));
@@ -313,6 +320,7 @@
             }
         }
     }
+    former_members_.update(host_.status().members.members());
     join_if_needed(now);
 }
 
@@ -322,6 +330,7 @@
     const bool has_place = status.members.is_voter(status.self) && !status.leader.empty();
     if (has_place) {
         without_place_since_ = base::instant::max();
+        joiner_->forget_learned();
         announce(status, now);
         return;
     }
@@ -339,10 +348,20 @@
     if (!founder_.address.empty()) {
         addresses.insert(requests_.operators_of(founder_));
     }
+    addresses.insert(joiner_->learned().begin(), joiner_->learned().end());
     addresses.erase(*settings_.operators);
     joiner_->ask(addresses);
 }
 
+void core_process::learn(const base::endpoint& peers)
+{
+    const consensus::replica_status status = host_.status();
+    // With a place, its own log names the members.
+    if (!status.members.is_voter(status.self) || status.leader.empty()) {
+        joiner_->learn(requests_.operators_of(peers));
+    }
+}
+
 void core_process::announce(const consensus::replica_status& status, base::instant now)
 {
     if (now - announced_ < announce_interval) {
@@ -353,6 +372,12 @@
     for (const consensus::member& one : status.members.members()) {
         addresses.erase(requests_.operators_of(one.address));
     }
+    if (host_.is_leader() && now - announced_to_former_ >= former_announce_interval) {
+        announced_to_former_ = now;
+        for (const base::endpoint& one : former_members_.addresses()) {
+            addresses.insert(requests_.operators_of(one));
+        }
+    }
     joiner_->ask(addresses);
 }
 
--- a/curranthoist/cored/core_process.hpp
+++ b/curranthoist/cored/core_process.hpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/base/zone_traffic.hpp"
 #include "curranthoist/consensus/replica_host.hpp"
+#include "curranthoist/cored/former_members.hpp"
 #include "curranthoist/cored/front_sessions.hpp"
 #include "curranthoist/cored/join_client.hpp"
 #include "curranthoist/cored/membership_keeper.hpp"
@@ -74,8 +75,11 @@
     void on_tick(ev::timer& watcher, int events);
     void on_stop_timer(ev::timer& watcher, int events);
     void join_if_needed(base::instant now);
-    // Tells the seeds that are no members where this member is: an observer that has just
-    // started, and the fronts that know no other address, learn of the core so.
+    // A member or applicant is at this address for other members.
+    void learn(const base::endpoint& peers);
+    // Tells the seeds that are no members, and as the leader the former members, where
+    // this member is: an observer that has just started, the fronts that know no other
+    // address, and a process that lost its disk and its seeds learn of the core so.
     void announce(const consensus::replica_status& status, base::instant now);
 
     ev::loop_ref loop_;
@@ -92,6 +96,7 @@
     next_turn_call state_change_;
     host_type host_;
     membership_keeper keeper_;
+    former_members former_members_;
     operator_requests requests_;
     std::unique_ptr<join_client> joiner_;
     std::unique_ptr<target_list_reader> reader_;
@@ -100,6 +105,7 @@
     ev::timer stop_timer_;
     base::instant stop_until_;
     base::instant announced_;
+    base::instant announced_to_former_;
     base::instant confirmed_at_;
     // The configuration whose teams are in use on this process as the leader.
     std::uint64_t teams_version_ = 0;
--- a/curranthoist/cored/join_client.cpp
+++ b/curranthoist/cored/join_client.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -71,6 +72,18 @@
     }
 }
 
+void join_client::learn(const base::endpoint& member)
+{
+    if (std::find(learned_.begin(), learned_.end(), member) != learned_.end()) {
+        return;
+    }
+    log_.info("event=member_learned operators=" + member.str());
+    if (learned_.size() == max_learned) {
+        learned_.erase(learned_.begin());
+    }
+    learned_.push_back(member);
+}
+
 void join_client::on_result(const http::target_result& result)
 {
     if (result.outcome == http::call_outcome::ok &&
--- a/curranthoist/cored/join_client.hpp
+++ b/curranthoist/cored/join_client.hpp
@@ -7,10 +7,12 @@
 
 #include <ev++.h>
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -30,6 +32,16 @@
     // Asks every address once; an address is the one where operators reach a member.
     void ask(const std::set<base::endpoint>& addresses);
 
+    // Operators reach a member at this address, as the member said itself.
+    void learn(const base::endpoint& member);
+    // The members that were learned of last.
+    [[nodiscard]] std::span<const base::endpoint> learned() const { return learned_; }
+    // This process has a place; its own log names the members.
+    void forget_learned() { learned_.clear(); }
+
+    // The oldest of the learned members are forgotten beyond this number.
+    static constexpr std::size_t max_learned = 16;
+
     // The path and body of the request, for the server's side.
     static constexpr const char* path = "/members/join";
     struct application
@@ -49,6 +61,7 @@
     std::map<base::endpoint, std::unique_ptr<http::target_client>> clients_;
     // Where the last answers said that the leader is.
     std::set<base::endpoint> leaders_;
+    std::vector<base::endpoint> learned_;
 };
 
 } // namespace curranthoist::cored
--- a/curranthoist/cored/observer_process.cpp
+++ b/curranthoist/cored/observer_process.cpp
@@ -54,7 +54,10 @@
            base::incarnation(
                static_cast<std::uint64_t>(base::wall_clock().now().count())),
            {settings.operators->address, settings.first_internal_port},
-           front_port_limits(settings)},
+           front_port_limits(settings),
+           nullptr,
+           {},
+           [this](const base::endpoint& member) { links_.learn(member); }},
           [](const consensus::message_body&) {},
           [this](std::unique_ptr<consensus::peer_session> session,
                  const wire::hello& hello) {
--- a/curranthoist/cored/operator_requests.cpp
+++ b/curranthoist/cored/operator_requests.cpp
@@ -355,6 +355,9 @@
         return;
     }
     if (!host_.is_leader()) {
+        if (on_applicant_) {
+            on_applicant_(from->address);
+        }
         redirect(request.target, answer);
         return;
     }
--- a/curranthoist/cored/operator_requests.hpp
+++ b/curranthoist/cored/operator_requests.hpp
@@ -47,6 +47,12 @@
     operator_requests& operator=(const operator_requests&) = delete;
 
     void answer(const http::caller_request& request, const http::responder& answer);
+    // Called with where members reach a process that asked this one to be taken in while
+    // it does not lead. A member that has a place asks as well, to tell where it is.
+    void set_applicant_handler(std::function<void(const base::endpoint&)> handler)
+    {
+        on_applicant_ = std::move(handler);
+    }
     // Where operators reach the member at this peer address.
     [[nodiscard]] base::endpoint operators_of(const base::endpoint& peers) const;
     [[nodiscard]] base::counter_registry& metrics() { return metrics_; }
@@ -90,6 +96,7 @@
     base::monotonic_clock clock_;
     base::instant started_;
     base::counter_registry metrics_;
+    std::function<void(const base::endpoint&)> on_applicant_;
 };
 
 } // namespace curranthoist::cored
--- a/curranthoist/testing/platform/platform_path_test.cpp
+++ b/curranthoist/testing/platform/platform_path_test.cpp
@@ -204,6 +204,98 @@
     EXPECT_EQ(version_read_back(), 7U);
 }
 
+// Four members with a disk beside three core processes without one, which are the seeds
+// of all and can be lost together.
+class lost_seeds_test : public platform_fixture
+{
+protected:
+    static constexpr std::size_t seed_count = 3;
+    static constexpr std::size_t vm_count = 7;
+    static constexpr std::size_t last = vm_count - 1;
+
+    lost_seeds_test()
+    {
+        add_vms(vm_count);
+        for (std::size_t vm = 0; vm < vm_count; ++vm) {
+            cores_.push_back(&start_core(vm, true, vm < seed_count ? "" : "disk"));
+        }
+    }
+    // Serves an order with all members in place, and then loses the seeds.
+    void lose_seeds()
+    {
+        ASSERT_TRUE(replace(configuration(7)));
+        ASSERT_TRUE(wait_until([&] { return voters_added() == 3; }));
+        for (std::size_t vm = 0; vm < seed_count; ++vm) {
+            cores_[vm]->kill_now();
+        }
+    }
+    // The number of processes that know this many voters.
+    std::size_t members_with(std::int64_t voters)
+    {
+        std::size_t count = 0;
+        for (std::size_t vm = seed_count; vm < vm_count; ++vm) {
+            count += core_metric(vm, "curranthoist_core_voters") == voters ? 1 : 0;
+        }
+        return count;
+    }
+    bool is_voter(std::size_t vm)
+    {
+        return core_metric(vm, "curranthoist_core_votes") == 1;
+    }
+};
+
+// Guards against a member that lost its disk and never gets back into the log while its
+// seeds are down, so that the next lost disk takes everything acknowledged with it.
+TEST_F(lost_seeds_test, a_member_without_its_disk_comes_back_and_the_next_disk_may_go)
+{
+    lose_seeds();
+    cores_[last]->kill_now();
+    start_core(last, false, "empty");
+    ASSERT_TRUE(wait_until([&] { return is_voter(last); }));
+    ASSERT_TRUE(replace(configuration(8)));
+    // All lose power, one of them its disk, and the seeds are back.
+    for (std::size_t vm = seed_count; vm < last; ++vm) {
+        cores_[vm]->kill_now();
+    }
+    for (std::size_t vm = 0; vm < seed_count; ++vm) {
+        start_core(vm, false, "");
+    }
+    start_core(seed_count, false, "empty");
+    for (std::size_t vm = seed_count + 1; vm < last; ++vm) {
+        start_core(vm, false, "disk");
+    }
+    EXPECT_TRUE(wait_until([&] { return version_read_back() == 8; }));
+    EXPECT_TRUE(replace(configuration(9)));
+}
+
+// Guards against a member that was removed for its silence, comes back without its disk
+// and is told by nobody where the log is while its seeds are down.
+TEST_F(lost_seeds_test, a_removed_member_without_its_disk_comes_back)
+{
+    lose_seeds();
+    cores_[last]->kill_now();
+    ASSERT_TRUE(wait_until([&] { return members_with(3) == 3; }, base::duration(15'000)));
+    start_core(last, false, "empty");
+    EXPECT_TRUE(wait_until([&] { return is_voter(last); }));
+    EXPECT_TRUE(wait_until([&] { return members_with(4) == 4; }));
+}
+
+// Guards against a core process that observes, since its disk takes no writes, and knows
+// no leader while its seeds are down.
+TEST_F(lost_seeds_test, an_observer_is_told_of_the_members_by_those_that_dial_it)
+{
+    lose_seeds();
+    cores_[last]->kill_now();
+    // A file stands where the folder is to be.
+    std::ofstream(folder() + "/data-" + std::to_string(last) + "-blocked") << "x";
+    start_core(last, false, "blocked");
+    EXPECT_TRUE(wait_until([&] {
+        return send({vms_[last], operators_port},
+                    {.method = "GET", .path = "/v1/configuration/get"})
+                   .status == http::status::temporary_redirect;
+    }));
+}
+
 // Guards against state that only the processes' memory held.
 TEST_F(platform_path_test, everything_acknowledged_is_back_after_all_were_killed)
 {
