Refuse answers whose head is none of the protocol

Callers saw: for an answer with the status 000, of which other operators reported that callers get it, callers here got 504, but only at their deadline (7,981 of 8,000 ms). A status of 999 was passed on. Behind an answer with the status 000 or 103 and a body, the next answer on the connection got that body in front of its own.

Cause: http_parser takes any number up to 999 for a status, and all below 200 counted as interim responses: the next one was awaited, and the body stayed.

Evidence: target_trouble_test.an_answer_without_a_valid_status_fails_at_once failed before, with 504 at the deadline for "000" and "0" and with 999 for 999; a trial of the reader gave "body{}" as the body of a success whose own was "{}".

Change: response_head_check checks each head against the grammar of RFC 9112 while it arrives, and the start line is refused as soon as it can't be one. Interim responses have no body. What http_parser takes in a wider form elsewhere is refused too: other major versions, blanks in header names, folded lines, codings other than chunked (a body in "gzip, chunked" was passed on coded), a switch of protocols. Trailers no longer count as headers. A refused answer is one of which nothing is known.

Targets that answer with bytes of any kind share raw_target now; repeating_target became its script repeating_answers.

After: the test passed with the other six of target_trouble_test, and so did response_reader_test, target_client_test and endless_response_test.

--- a/curranthoist/entry/answer_check.cpp
+++ b/curranthoist/entry/answer_check.cpp
@@ -106,6 +106,7 @@
     case http::call_outcome::cancelled:
         return lost(request, result, call_end::timed_out, part_status::timed_out);
     case http::call_outcome::truncated:
+    case http::call_outcome::malformed:
     case http::call_outcome::connection_broken:
         return lost(request, result, call_end::reset, part_status::failed);
     case http::call_outcome::too_large:
--- a/curranthoist/http/call_outcome.hpp
+++ b/curranthoist/http/call_outcome.hpp
@@ -15,6 +15,8 @@
     timed_out,
     // The response ended early, or its length can't be verified.
     truncated,
+    // The head is none of the protocol, or asks for what the client does not support.
+    malformed,
     // The connection ended before a response began, or a kept one could not be used.
     connection_broken,
     // cancel() was called.
@@ -39,6 +41,8 @@
         return "timed out";
     case call_outcome::truncated:
         return "truncated response";
+    case call_outcome::malformed:
+        return "malformed response";
     case call_outcome::connection_broken:
         return "connection broken";
     case call_outcome::cancelled:
--- a/curranthoist/http/internal/response_reader.cpp
+++ b/curranthoist/http/internal/response_reader.cpp
@@ -16,6 +16,9 @@
 // Tells http_parser that no body follows the headers.
 constexpr int skip_body = 1;
 constexpr unsigned first_final_status = 200;
+// No request asks for another protocol.
+constexpr unsigned switching_protocols = 101;
+constexpr std::string_view transfer_coding_header = "Transfer-Encoding";
 // A target that sends more responses to other requests than this is not to be trusted
 // with the own one.
 constexpr std::size_t max_skipped = 3;
@@ -68,22 +71,41 @@
     if (received_bytes_ > call_.max_body_bytes * max_received_factor + max_header_bytes) {
         return call_outcome::too_large;
     }
-    const std::size_t taken =
-        http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
-    if (complete_) {
-        // What follows a response belongs to no request, and a target that sent one
-        // response too many may send another.
-        keep_ = keep_ && taken == bytes.size() && skipped_ == 0;
-        return complete_outcome();
-    }
-    if (mismatched_) {
-        return call_outcome::mismatched;
-    }
-    if (too_large_) {
-        return call_outcome::too_large;
+    while (true) {
+        const std::size_t size = head_.is_complete() ? bytes.size() : head_.read(bytes);
+        if (head_.is_malformed()) {
+            return call_outcome::malformed;
+        }
+        const std::size_t taken =
+            http_parser_execute(&parser_, &settings, bytes.data(), size);
+        bytes.remove_prefix(std::min(taken, size));
+        if (complete_) {
+            // What follows a response belongs to no request, and a target that sent one
+            // response too many may send another.
+            keep_ = keep_ && bytes.empty() && skipped_ == 0;
+            return complete_outcome();
+        }
+        if (malformed_) {
+            return call_outcome::malformed;
+        }
+        if (mismatched_) {
+            return call_outcome::mismatched;
+        }
+        if (too_large_) {
+            return call_outcome::too_large;
+        }
+        if (another_follows_) {
+            another_follows_ = false;
+            http_parser_pause(&parser_, 0);
+            head_.restart();
+        }
+        if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+            return call_outcome::truncated;
+        }
+        if (bytes.empty()) {
+            return std::nullopt;
+        }
     }
-    return HTTP_PARSER_ERRNO(&parser_) == HPE_OK ? std::nullopt
-                                                 : std::optional(call_outcome::truncated);
 }
 
 call_outcome response_reader::finish(bool in_order)
@@ -107,6 +129,7 @@
     self.field_.clear();
     self.value_.clear();
     self.in_value_ = false;
+    self.has_head_ = false;
     // Also for what follows a dropped response in the same bytes.
     self.begun_ = true;
     return 0;
@@ -123,7 +146,10 @@
     if (!self.accept_header_bytes(size + (begins ? header_record_bytes : 0))) {
         return -1;
     }
-    self.field_.append(data, size);
+    // Trailers are dropped: what decides about a response comes before its body.
+    if (!self.has_head_) {
+        self.field_.append(data, size);
+    }
     return 0;
 }
 
@@ -134,7 +160,9 @@
     if (!self.accept_header_bytes(size)) {
         return -1;
     }
-    self.value_.append(data, size);
+    if (!self.has_head_) {
+        self.value_.append(data, size);
+    }
     return 0;
 }
 
@@ -171,7 +199,10 @@
 
 void response_reader::store_header()
 {
-    result_.headers.emplace(std::move(field_), std::move(value_));
+    const bool is_coding = equal_names(field_, transfer_coding_header);
+    const bool is_new =
+        result_.headers.emplace(std::move(field_), std::move(value_)).second;
+    malformed_ = malformed_ || (is_coding && !is_new);
     field_.clear();
     value_.clear();
     in_value_ = false;
@@ -199,9 +230,16 @@
     if (self.in_value_) {
         self.store_header();
     }
+    self.has_head_ = true;
     self.result_.status = parser->status_code;
+    self.malformed_ = self.malformed_ || self.has_unknown_coding() ||
+                      parser->status_code == switching_protocols;
+    if (self.malformed_) {
+        return -1;
+    }
     if (parser->status_code < first_final_status) {
-        return 0;
+        // An interim response has no body, whatever its head says.
+        return skip_body;
     }
     const bool bodiless = parser->status_code == status::no_content ||
                           parser->status_code == status::not_modified ||
@@ -247,12 +285,16 @@
     response_reader& self = of(parser);
     if (parser->status_code < first_final_status) {
         // An interim response; the final one follows on the same connection.
+        self.another_follows_ = true;
+        http_parser_pause(parser, 1);
         return 0;
     }
     if (self.skipping_) {
         self.skipping_ = false;
         ++self.skipped_;
         self.begun_ = false;
+        self.another_follows_ = true;
+        http_parser_pause(parser, 1);
         return 0;
     }
     self.complete_ = true;
@@ -262,6 +304,17 @@
     return 0;
 }
 
+bool response_reader::has_unknown_coding() const
+{
+    const auto found = result_.headers.find(transfer_coding_header);
+    if (found == result_.headers.end()) {
+        return false;
+    }
+    std::string_view coding = found->second;
+    coding = coding.substr(0, coding.find_last_not_of(" \t") + 1);
+    return !equal_names(coding, "chunked");
+}
+
 bool response_reader::has_announced_size() const
 {
     const auto announced = result_.header("Result-Length");
--- a/curranthoist/http/internal/response_reader.hpp
+++ b/curranthoist/http/internal/response_reader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "curranthoist/http/internal/response_head_check.hpp"
 #include "curranthoist/http/target_call.hpp"
 #include "curranthoist/http/target_result.hpp"
 
@@ -59,12 +60,15 @@
     [[nodiscard]] bool names_another_request() const;
     [[nodiscard]] bool lacks_required_id() const;
     [[nodiscard]] bool has_announced_size() const;
+    // Whether the body is transferred in a coding that this client does not decode.
+    [[nodiscard]] bool has_unknown_coding() const;
     [[nodiscard]] call_outcome complete_outcome() const;
 
     const target_call& call_;
     target_result& result_;
     std::shared_ptr<memory_account> memory_;
     http_parser parser_{};
+    response_head_check head_;
     // Bytes read so far, and those of them in header lines and trailers.
     std::size_t received_bytes_ = 0;
     std::size_t header_bytes_ = 0;
@@ -73,6 +77,11 @@
     std::string field_;
     std::string value_;
     bool in_value_ = false;
+    // Fields that come now are trailers.
+    bool has_head_ = false;
+    bool malformed_ = false;
+    // An interim or dropped response is complete; another one follows.
+    bool another_follows_ = false;
     bool requires_id_ = false;
     bool begun_ = false;
     bool complete_ = false;
--- a/curranthoist/testing/platform/target_trouble_test.cpp
+++ b/curranthoist/testing/platform/target_trouble_test.cpp
@@ -1,7 +1,10 @@
 // Targets in trouble, and a list with entries of another writer, against real processes.
+#include "curranthoist/http/status.hpp"
 #include "curranthoist/testing/endless_server.hpp"
+#include "curranthoist/testing/malformed_answers.hpp"
 #include "curranthoist/testing/platform/platform_fixture.hpp"
-#include "curranthoist/testing/repeating_target.hpp"
+#include "curranthoist/testing/raw_target.hpp"
+#include "curranthoist/testing/repeating_answers.hpp"
 
 #include <chrono>
 #include <fstream>
@@ -136,7 +139,7 @@
 {
     const std::string id = "r-a";
     const base::endpoint local{new_address(), 9500};
-    const repeating_target repeating(id, local);
+    raw_target<repeating_answers> repeating(local, id);
     stand_in_platform::target listed{id, "repeating", {new_address(), 9500}};
     listed.listed_address = local;
     platform_->add(listed);
@@ -150,7 +153,48 @@
     for (int i = 0; i < 5; ++i) {
         const std::string attempt = "order-" + std::to_string(i);
         EXPECT_EQ(ask(0, "/o/1", attempt, "POST").status, 200U);
-        EXPECT_EQ(repeating.runs_of(attempt), 1);
+        EXPECT_EQ(repeating.script().runs_of(attempt), 1);
+    }
+}
+
+// Guards against callers that get an answer without a status, or that wait for another
+// one until their deadline.
+TEST_F(target_trouble_test, an_answer_without_a_valid_status_fails_at_once)
+{
+    constexpr std::uint16_t port = 9600;
+    constexpr unsigned deadline_ms = 8000;
+    // The answer was known at once; this leaves a slow machine room.
+    constexpr base::duration limit{deadline_ms / 2};
+    const std::string id = "m-a";
+    const base::endpoint local{new_address(), port};
+    raw_target<malformed_answers> malformed(local, id);
+    stand_in_platform::target listed{id, "malformed", {new_address(), port}};
+    listed.listed_address = local;
+    platform_->add(listed);
+    nlohmann::json wanted = configuration(7, deadline_ms);
+    nlohmann::json service = wanted["services"][0];
+    service["name"] = "malformed";
+    wanted["services"].push_back(service);
+    wanted["routes"][1]["service"] = "malformed";
+    ASSERT_TRUE(replace(wanted));
+    ASSERT_TRUE(ready(0));
+    unsigned number = 0;
+    for (const char* const start_line :
+         {"HTTP/1.1 999 None", "HTTP/1.1 000 None", "HTTP/1.1 0", "HTTP/1.1 099 None"}) {
+        for (const char* const lines : {"", "Content-Length: 2\r\n"}) {
+            malformed.script().set(start_line, lines, "{}");
+            const http::target_result answer =
+                send({vms_[0], callers_port},
+                     {.path = "/o/1",
+                      .headers = {{"Host", host},
+                                  {"Attempt-Id", "order-" + std::to_string(++number)},
+                                  {"Deadline-Milliseconds", std::to_string(deadline_ms)}},
+                      .body = "order",
+                      .time_limit = base::duration(2 * deadline_ms)});
+            EXPECT_EQ(answer.outcome, http::call_outcome::ok) << start_line;
+            EXPECT_EQ(answer.status, http::status::bad_gateway) << start_line;
+            EXPECT_LT(answer.elapsed, limit) << start_line;
+        }
     }
 }
 
