--- a/curranthoist/testing/child_process.cpp
+++ b/curranthoist/testing/child_process.cpp
@@ -2,6 +2,7 @@
 
 #include "curranthoist/testing/wait_until.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <fstream>
@@ -101,12 +102,21 @@
 
 void child_process::limit_file_size(std::uint64_t bytes)
 {
-    const rlimit limit{bytes, bytes};
+    rlimit limit{};
+    if (::prlimit(id_, RLIMIT_FSIZE, nullptr, &limit) != 0) {
+        throw std::system_error(errno, std::generic_category(), "prlimit");
+    }
+    limit.rlim_cur = std::min<rlim_t>(bytes, limit.rlim_max);
     if (::prlimit(id_, RLIMIT_FSIZE, &limit, nullptr) != 0) {
         throw std::system_error(errno, std::generic_category(), "prlimit");
     }
 }
 
+void child_process::allow_any_file_size()
+{
+    limit_file_size(RLIM_INFINITY);
+}
+
 void child_process::kill_now()
 {
     send_signal(SIGKILL);
--- a/curranthoist/testing/child_process.hpp
+++ b/curranthoist/testing/child_process.hpp
@@ -34,6 +34,8 @@
     // that wants an error rather than SIGXFSZ ignores that signal before it starts the
     // process. Throws std::system_error.
     void limit_file_size(std::uint64_t bytes);
+    // Takes that limit back.
+    void allow_any_file_size();
     // SIGKILL, and waits for the end.
     void kill_now();
 
