--- a/curranthoist/http/internal/response_head_check.cpp
+++ b/curranthoist/http/internal/response_head_check.cpp
@@ -57,6 +57,15 @@
     return position_ == start_line_form.size() ? place::after_status : place::start_line;
 }
 
+response_head_check::place response_head_check::at_end_of_line(unsigned char byte)
+{
+    if (byte == '\r') {
+        return place::line_end;
+    }
+    // A line may end without a carriage return.
+    return byte == '\n' ? place::line_start : place::error;
+}
+
 response_head_check::place response_head_check::next(unsigned char byte)
 {
     switch (at_) {
@@ -64,28 +73,20 @@
         return next_in_start_line(byte);
     case place::after_status:
         // Many servers leave the blank out if they give no reason.
-        if (byte != ' ' && byte != '\r' && byte != '\n') {
-            return place::error;
-        }
-        [[fallthrough]];
-    case place::reason:
-        if (byte == '\r' || byte == '\n') {
-            return byte == '\r' ? place::line_end : place::line_start;
-        }
-        return is_text_byte(byte) ? place::reason : place::error;
-    case place::value:
-        if (byte == '\r' || byte == '\n') {
-            return byte == '\r' ? place::line_end : place::line_start;
-        }
-        return is_text_byte(byte) ? place::value : place::error;
+        return byte == ' ' ? place::text : at_end_of_line(byte);
+    case place::text:
+        return is_text_byte(byte) ? place::text : at_end_of_line(byte);
     case place::line_start:
-        if (byte == '\r' || byte == '\n') {
-            return byte == '\r' ? place::last_line_end : place::end;
+        if (byte == '\r') {
+            return place::last_line_end;
+        }
+        if (byte == '\n') {
+            return place::end;
         }
         return is_name_byte(byte) ? place::name : place::error;
     case place::name:
         if (byte == ':') {
-            return place::value;
+            return place::text;
         }
         return is_name_byte(byte) ? place::name : place::error;
     case place::line_end:
--- a/curranthoist/http/internal/response_head_check.hpp
+++ b/curranthoist/http/internal/response_head_check.hpp
@@ -33,10 +33,10 @@
         // The version and the status, of fixed length.
         start_line,
         after_status,
-        reason,
         line_start,
         name,
-        value,
+        // The reason, or the value of a header.
+        text,
         // A carriage return was read, in a line or in the empty line behind the last one.
         line_end,
         last_line_end,
@@ -46,6 +46,7 @@
 
     [[nodiscard]] place next(unsigned char byte);
     [[nodiscard]] place next_in_start_line(unsigned char byte);
+    [[nodiscard]] static place at_end_of_line(unsigned char byte);
 
     place at_ = place::start_line;
     std::size_t position_ = 0;
