--- a/review/stand-ins-3/fleet.py
+++ b/review/stand-ins-3/fleet.py
@@ -5,15 +5,40 @@
 import asyncio
 import json
 import os
+import random
 import re
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import time
 
-FRONT, CONTROL, READY, PEERS, LIST = 8104, 8106, 8108, 7380, 9000
+PORTS = 40
+
+
+def free_ports():
+    """The first of PORTS ports in a row that nobody uses on any address."""
+    for _ in range(200):
+        first = random.randrange(20000, 30000, PORTS)
+        held = []
+        try:
+            for port in range(first, first + PORTS):
+                held.append(socket.socket())
+                held[-1].bind(("0.0.0.0", port))
+            return first
+        except OSError:
+            pass
+        finally:
+            for one in held:
+                one.close()
+    raise RuntimeError("no ports are free")
+
+
+FRONT = free_ports()
+CONTROL, READY, LIST, SERVERS, PEERS = (FRONT + n for n in (1, 2, 3, 4, 10))
+METRICS_FRONT, METRICS_CORE = 9464, 9465  # By the deploy file, on each node's own address.
 HOST = "shop.example"
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
@@ -83,7 +108,7 @@
     """A sound server: runs up to `slots` requests at a time, refuses what is meant for another
     instance, echoes Attempt-Id and signs its answers."""
 
-    def __init__(self, fleet, ident, service, address, port=8080, work_s=0.02, slots=8,
+    def __init__(self, fleet, ident, service, address, port=SERVERS, work_s=0.02, slots=8,
                  zone="z1"):
         self.fleet, self.ident, self.service = fleet, ident, service
         self.address, self.port, self.zone = address, port, zone
@@ -279,12 +304,15 @@
 
 
 class Fleet:
-    def __init__(self, folder, prefix, nodes, members, proxied=False, settings=None):
+    def __init__(self, folder, prefix, nodes, members, proxied=False, settings=None,
+                 cores=None):
         # `settings` holds the keys that differ from those of vakadrum-search.
         self.proxies = Proxies(self) if proxied else None
         self.record = Record(folder)
         self.prefix, self.nodes, self.members = prefix, nodes, members
         self.changed = settings or {}
+        # The first nodes run a core process too.
+        self.cores = cores or nodes
         self.seeds = [1, 2, 3]
         self.servers, self.processes = [], {}
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -366,9 +394,10 @@
         return path
 
     def spawn(self, node, role, first=False):
-        command = {"front": ["target/bin/curranthoist-front", "--metrics-port", "9464",
+        command = {"front": ["target/bin/curranthoist-front", "--metrics-port", str(METRICS_FRONT),
                              "--zone-cost-ms", "40"],
-                   "core": ["target/bin/curranthoist-core", "--metrics-port", "9465"]}[role]
+                   "core": ["target/bin/curranthoist-core", "--metrics-port",
+                            str(METRICS_CORE)]}[role]
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
                        if name in os.environ}
         environment["CURRANTHOIST_BOOT"] = self.settings(node, role, first)
@@ -397,7 +426,8 @@
         for node in range(1, self.nodes + 1) if self.proxies else ():
             await self.proxies.start(node)
         for node in range(1, self.nodes + 1):
-            self.spawn(node, "core", first=True)
+            if node <= self.cores:
+                self.spawn(node, "core", first=True)
             self.spawn(node, "front", first=True)
         await self.until(lambda: self.order("POST", "/v1/configuration/replace", configuration))
         for node in range(1, self.nodes + 1):
@@ -425,7 +455,7 @@
 
     async def operate(self, method, path, document=None, nodes=None):
         body = json.dumps(document).encode() if document is not None else b""
-        for node in nodes or range(1, self.nodes + 1):
+        for node in nodes or range(1, self.cores + 1):
             address, port = self.address(node), CONTROL
             for _ in range(3):
                 status, headers, answer = await call(
@@ -445,7 +475,7 @@
         """The nodes whose core process says that it leads."""
         found = []
         for node in nodes:
-            _, _, text = await call(self.listening(node), 9465, "GET", "/metrics")
+            _, _, text = await call(self.listening(node), METRICS_CORE, "GET", "/metrics")
             if b"\ncurranthoist_core_leads 1\n" in text:
                 found.append(node)
         return found
