Let a leader act only in the term in which it was elected

Cause: a message of a new leader raises the replica's term at once, and the process learned of its lost lead only in its next turn of the loop. What it read in between, such as the last page of the platform's list, it published as the leader, under the term of its successor: the list reader's handler took the term from the replica's status.

Change: replica_host::led_term() names the term in which the process may act. It ends with the message that tells of a later term, and once a successor has been asked to stand. is_leader(), the lists, the answers to reports and the judgements of roll-outs use it. A reading of the list carries the term for which it began, and a list whose term is not led any more is dropped with event=listing_dropped. A planned stop waits for the replica's role, as led_term() ends with the demand to the successor.

replica_host_test.a_leader_that_reads_of_a_later_term_acts_no_longer failed on the code before (is_leader() was true in a later term) and passes now.

--- a/curranthoist/consensus/internal/replica_election.hpp
+++ b/curranthoist/consensus/internal/replica_election.hpp
@@ -101,6 +101,7 @@
 {
     role_ = replica_role::leader;
     leader_ = self_;
+    latest_leader_term_ = term_;
     votes_.clear();
     progress_.clear();
     round_ = 0;
--- a/curranthoist/consensus/internal/replica_follower.hpp
+++ b/curranthoist/consensus/internal/replica_follower.hpp
@@ -55,6 +55,7 @@
         become_follower(term, leader, now);
     }
     leader_ = leader;
+    latest_leader_term_ = term;
     leader_heard_ = now;
     reset_election_deadline(now);
     return true;
--- a/curranthoist/consensus/internal/replica_host.hpp
+++ b/curranthoist/consensus/internal/replica_host.hpp
@@ -97,6 +97,13 @@
     on_leadership_ = std::move(handler);
 }
 
+template <state_machine Machine, class Disk>
+std::optional<base::term> replica_host<Machine, Disk>::led_term() const
+{
+    const auto led = leads_ && !failed_ ? replica_.led_term() : std::nullopt;
+    return led == leads_in_ ? led : std::nullopt;
+}
+
 template <state_machine Machine, class Disk>
 std::optional<member> replica_host<Machine, Disk>::leader() const
 {
--- a/curranthoist/consensus/internal/replica_leader.hpp
+++ b/curranthoist/consensus/internal/replica_leader.hpp
@@ -85,6 +85,13 @@
     return is_leader() && commit_index_ >= term_start_;
 }
 
+template <class Rules>
+std::optional<base::term> basic_replica<Rules>::led_term() const
+{
+    const bool is_handed_over = is_transferring() && transfer_sent_;
+    return is_ready() && !is_handed_over ? std::optional(term_) : std::nullopt;
+}
+
 template <class Rules>
 follower_progress* basic_replica<Rules>::progress_of(const base::member_id& id)
 {
--- a/curranthoist/consensus/replica.hpp
+++ b/curranthoist/consensus/replica.hpp
@@ -90,6 +90,12 @@
     [[nodiscard]] bool is_leader() const { return role_ == replica_role::leader; }
     // True on a leader that has committed an entry of its own term.
     [[nodiscard]] bool is_ready() const;
+    // The term in which this member may act as the leader; nullopt if it may not, also
+    // once it has asked a successor to stand.
+    [[nodiscard]] std::optional<base::term> led_term() const;
+    // The latest term of which this member knows the elected leader; 0 since its start if
+    // it knows none. Unlike current_term() it counts no candidate that lost.
+    [[nodiscard]] base::term latest_leader_term() const { return latest_leader_term_; }
     [[nodiscard]] bool is_transferring() const { return !transfer_to_.empty(); }
     [[nodiscard]] const base::member_id& self() const { return self_; }
     [[nodiscard]] const base::member_id& leader() const { return leader_; }
@@ -190,6 +196,7 @@
     base::term term_;
     base::member_id voted_for_;
     base::member_id leader_;
+    base::term latest_leader_term_;
     log_view log_;
     membership_history memberships_;
     base::log_index commit_index_;
--- a/curranthoist/consensus/replica_host.hpp
+++ b/curranthoist/consensus/replica_host.hpp
@@ -71,8 +71,16 @@
     // and after it lost leadership.
     void set_leadership_handler(leadership_handler handler);
 
-    // True from the moment that the leadership handler reports.
-    [[nodiscard]] bool is_leader() const { return leads_; }
+    // The term in which this member may act as the leader now; nullopt if it may not. It
+    // is the term that the leadership handler reported last, and ends before the handler
+    // reports the loss, with the message that tells of another term.
+    [[nodiscard]] std::optional<base::term> led_term() const;
+    [[nodiscard]] bool is_leader() const { return led_term().has_value(); }
+    // The latest term of which this member knows the elected leader (replica).
+    [[nodiscard]] base::term latest_leader_term() const
+    {
+        return replica_.latest_leader_term();
+    }
     // The leader's identity and address, if known.
     [[nodiscard]] std::optional<member> leader() const;
     [[nodiscard]] replica_status status() const { return replica_.status(); }
--- a/curranthoist/consensus/replica_host_test.cpp
+++ b/curranthoist/consensus/replica_host_test.cpp
@@ -1,4 +1,5 @@
 #include "curranthoist/consensus/replica_host.hpp"
+#include "curranthoist/consensus/wire_codec.hpp"
 #include "curranthoist/testing/loopback.hpp"
 #include "curranthoist/wire/peer_dialer.hpp"
 
@@ -240,6 +241,37 @@
     EXPECT_EQ(by_old, false);
 }
 
+// Guards against a deposed leader that acts, and names the term of its successor as its
+// own, between the message that tells of that term and its next turn of the loop.
+TEST_F(replica_host_test, a_leader_that_reads_of_a_later_term_acts_no_longer)
+{
+    propose_and_wait('a');
+    const std::size_t old = wait_for_leader();
+    const std::size_t successor = (old + 1) % hosts_.size();
+    const replica_host<command_list>& host = *hosts_[old]->host;
+    const base::term led = host.status().term;
+    std::unique_ptr<wire::peer_dialer> dialer;
+    dialer = std::make_unique<wire::peer_dialer>(
+        loop_, address(old),
+        [&] {
+            wire::hello_message hello;
+            hello.protocol = wire::protocol_version;
+            hello.sender = wire::role::control;
+            hello.id = id(successor).str();
+            dialer->send(std::move(hello));
+            append_request heartbeat;
+            heartbeat.term = led.next();
+            heartbeat.leader = id(successor);
+            dialer->send_frame(to_frame(heartbeat));
+        },
+        [](const wire::envelope&) {}, [](const std::string&) {});
+    wait_for([&] {
+        const bool is_deposed = host.status().term > led;
+        EXPECT_FALSE(is_deposed && host.is_leader());
+        return is_deposed;
+    });
+}
+
 // Guards against proposals that are acknowledged without a quorum or never answered.
 TEST_F(replica_host_test, proposal_without_quorum_ends_as_unknown)
 {
--- a/curranthoist/controld/control_process.cpp
+++ b/curranthoist/controld/control_process.cpp
@@ -212,7 +212,7 @@
 
 void control_process::stop()
 {
-    if (!host_.is_leader() || !host_.transfer_leadership()) {
+    if (!host_.transfer_leadership()) {
         loop_.break_loop(ev::ALL);
         return;
     }
@@ -223,7 +223,10 @@
 
 void control_process::on_stop_timer(ev::timer& /*watcher*/, int /*events*/)
 {
-    if (!host_.is_leader() || clock_.now() >= stop_until_) {
+    // After it has asked its successor to stand, it no longer acts as the leader, but
+    // stays until the successor is elected.
+    const bool is_deposed = host_.status().role != consensus::replica_role::leader;
+    if (is_deposed || clock_.now() >= stop_until_) {
         stop_timer_.stop();
         loop_.break_loop(ev::ALL);
     }
--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -144,10 +144,9 @@
     if (settings_.list_address) {
         reader_ = std::make_unique<target_list_reader>(
             loop_, *settings_.list_address, settings_.list_calls_per_s,
-            [this](std::vector<deployment::listed_target> targets,
+            [this](base::term term, std::vector<deployment::listed_target> targets,
                    base::instant read_at) {
-                sessions_.on_listing(host_.status().term.value(), std::move(targets),
-                                     read_at);
+                on_list(term, std::move(targets), read_at);
             });
     }
     server_ = std::make_unique<http::caller_server>(
@@ -192,8 +191,9 @@
 {
     const consensus::replica_status status = host_.status();
     front_sessions::core_view result;
-    result.leader = host_.is_leader();
-    result.term = status.term.value();
+    const auto led = host_.led_term();
+    result.leader = led.has_value();
+    result.term = led.value_or(host_.latest_leader_term()).value();
     for (const consensus::member& one : status.members.members()) {
         result.members.push_back(one.address.str());
     }
@@ -202,6 +202,21 @@
     return result;
 }
 
+void core_process::on_list(base::term term,
+                           std::vector<deployment::listed_target> targets,
+                           base::instant read_at)
+{
+    // After a freeze the last page may be read before the message of a new leader.
+    if (host_.led_term() != term) {
+        log_.info("event=listing_dropped term=" + std::to_string(term.value()) +
+                  " current_term=" + std::to_string(host_.status().term.value()) +
+                  " age_ms=" + std::to_string((clock_.now() - read_at).count()) +
+                  " reason=\"this process may not act as the leader\"");
+        return;
+    }
+    sessions_.on_listing(term.value(), std::move(targets), read_at);
+}
+
 void core_process::on_leadership(bool leads)
 {
     const std::string term = std::to_string(host_.status().term.value());
@@ -220,7 +235,7 @@
         return;
     }
     if (leads) {
-        reader_->start();
+        reader_->start(host_.status().term);
     }
     else {
         reader_->stop();
@@ -251,10 +266,9 @@
                        });
 }
 
-void core_process::end_rollouts()
+void core_process::end_rollouts(base::term term)
 {
-    for (const rollout_judges::decision& one :
-         sessions_.judge_rollouts(host_.status().term.value())) {
+    for (const rollout_judges::decision& one : sessions_.judge_rollouts(term.value())) {
         const std::string what =
             "service=" + one.order.service.str() +
             " version=" + one.order.target_version +
@@ -307,9 +321,10 @@
     const base::instant now = clock_.now();
     sessions_.close_silent();
     sessions_.send_due();
-    if (host_.is_leader()) {
+    if (const auto led = host_.led_term()) {
+        update_teams();
         confirm_leadership(now);
-        end_rollouts();
+        end_rollouts(*led);
         log_rollout_steps();
         if (const auto change = keeper_.next_change(host_.status(), now)) {
             const std::string refused = host_.change_membership(*change);
@@ -391,7 +406,7 @@
 {
     log_.info("event=stopping");
     server_->announce_close();
-    if (!host_.is_leader() || !host_.transfer_leadership()) {
+    if (!host_.transfer_leadership()) {
         loop_.break_loop(ev::ALL);
         return;
     }
@@ -401,7 +416,10 @@
 
 void core_process::on_stop_timer(ev::timer& /*watcher*/, int /*events*/)
 {
-    if (!host_.is_leader() || clock_.now() >= stop_until_) {
+    // After it has asked its successor to stand, it no longer acts as the leader, but
+    // stays until the successor is elected.
+    const bool is_deposed = host_.status().role != consensus::replica_role::leader;
+    if (is_deposed || clock_.now() >= stop_until_) {
         stop_timer_.stop();
         loop_.break_loop(ev::ALL);
     }
--- a/curranthoist/cored/core_process.hpp
+++ b/curranthoist/cored/core_process.hpp
@@ -64,13 +64,16 @@
     [[nodiscard]] front_sessions::core_view view() const;
 
     void on_leadership(bool leads);
+    // Publishes a list that was read for the leader of `term`, if this process still is.
+    void on_list(base::term term, std::vector<deployment::listed_target> targets,
+                 base::instant read_at);
     // On the leader: takes the teams of the newest configuration over.
     void update_teams();
     // On the leader: lets a quorum confirm it, for the leases of fronts on keys.
     void confirm_leadership(base::instant now);
     [[nodiscard]] bool has_running_rollout() const;
-    // Proposes the ends of roll-outs that are judged.
-    void end_rollouts();
+    // Proposes the ends of roll-outs that are judged by the leader of `term`.
+    void end_rollouts(base::term term);
     void log_rollout_steps();
     void on_tick(ev::timer& watcher, int events);
     void on_stop_timer(ev::timer& watcher, int events);
--- a/curranthoist/cored/target_list_reader.cpp
+++ b/curranthoist/cored/target_list_reader.cpp
@@ -35,10 +35,11 @@
     timer_.set<target_list_reader, &target_list_reader::on_timer>(this);
 }
 
-void target_list_reader::start()
+void target_list_reader::start(base::term term)
 {
-    if (!running_) {
+    if (!running_ || term_ != term) {
         running_ = true;
+        term_ = term;
         reachable_.reset();
         begin();
     }
@@ -147,7 +148,7 @@
     timer_.start(wait.seconds());
     if (complete) {
         log_rejected();
-        on_list_(std::move(targets_), begun_);
+        on_list_(term_, std::move(targets_), begun_);
     }
 }
 
--- a/curranthoist/cored/target_list_reader.hpp
+++ b/curranthoist/cored/target_list_reader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "curranthoist/base/identifiers.hpp"
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
 #include "curranthoist/deployment/listed_target.hpp"
@@ -19,9 +20,10 @@
 class target_list_reader
 {
 public:
-    // Receives a complete list and when its reading began.
-    using list_handler = std::function<void(std::vector<deployment::listed_target>,
-                                            base::instant read_at)>;
+    // Receives a complete list, the term for which it was read, and when its reading
+    // began.
+    using list_handler = std::function<void(
+        base::term term, std::vector<deployment::listed_target>, base::instant read_at)>;
 
     // At least this long from the begin of one reading to the next. Half of a drain's
     // 3 s stay for the list's lag, the push to other VMs and a lost call.
@@ -33,8 +35,9 @@
     target_list_reader(const target_list_reader&) = delete;
     target_list_reader& operator=(const target_list_reader&) = delete;
 
-    // Begins to read at once; does nothing if it runs.
-    void start();
+    // Begins to read at once for the leader of `term`. A reading that runs for another
+    // term ends without a result.
+    void start(base::term term);
     void stop();
 
 private:
@@ -51,6 +54,7 @@
     list_handler on_list_;
     ev::timer timer_;
     bool running_ = false;
+    base::term term_;
     std::uint64_t reading_ = 0;
     base::instant begun_;
     std::vector<deployment::listed_target> targets_;
--- a/curranthoist/cored/target_list_reader_test.cpp
+++ b/curranthoist/cored/target_list_reader_test.cpp
@@ -17,6 +17,8 @@
 using testing::endless_server;
 
 constexpr double calls_per_s = 20;
+constexpr base::term first_term{3};
+constexpr base::term later_term{5};
 
 double processor_seconds()
 {
@@ -31,12 +33,14 @@
     {
         server_.emplace(head, filler);
         reader_.emplace(loop_, server_->local(), calls_per_s,
-                        [this](const std::vector<deployment::listed_target>& targets,
+                        [this](base::term term,
+                               const std::vector<deployment::listed_target>& targets,
                                base::instant /*read_at*/) {
                             lists_ += 1;
                             targets_ = targets.size();
+                            terms_.push_back(term);
                         });
-        reader_->start();
+        reader_->start(first_term);
     }
 
     ev::dynamic_loop loop_;
@@ -44,6 +48,7 @@
     std::optional<target_list_reader> reader_;
     std::size_t lists_ = 0;
     std::size_t targets_ = 0;
+    std::vector<base::term> terms_;
 };
 
 // Guards against a list without end that is taken for a list, that is read on until its
@@ -94,5 +99,20 @@
     EXPECT_EQ(targets_, 1U);
 }
 
+// Guards against a list that was read for an earlier term and is published under the
+// term in which its reader leads again.
+TEST_F(target_list_reader_test, a_reading_of_an_earlier_term_is_not_finished_in_another)
+{
+    const std::string body = R"({"instances":[],"next_page_token":null})";
+    read_from("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                  "\r\n\r\n" + body,
+              "");
+    // The first reading is under way. The loss of the lead went unnoticed.
+    reader_->start(later_term);
+    ASSERT_TRUE(run_until(loop_, [this] { return lists_ >= 1; }));
+    EXPECT_EQ(terms_, std::vector<base::term>{later_term});
+    reader_->stop();
+}
+
 } // namespace
 } // namespace curranthoist::cored
