Let a leader act only while a quorum answers it

A leader that stood still acted on whatever it read first when it ran again: an order, a report or a page of the list, although another leader could have been elected meanwhile. It stepped down only when its next turn of the loop looked at the time, and answers from before the freeze that lay in its sockets counted as fresh.

Each heartbeat now begins a quorum round, and the replica remembers when its latest rounds began. led_term() needs a quorum's answers to a round that began less than min_election_timeout ago: within that time none of these members grants a pre-vote to another candidate. The bound is the time of sending, so that a late answer proves nothing. The leader does not step down for it: if nobody else was elected, the next answers let it act in the same term again.

--- a/curranthoist/consensus/internal/replica_election.hpp
+++ b/curranthoist/consensus/internal/replica_election.hpp
@@ -105,6 +105,7 @@
     votes_.clear();
     progress_.clear();
     round_ = 0;
+    rounds_began_.clear();
     repair_.reset();
     transfer_to_ = {};
     heartbeat_due_ = now;
--- a/curranthoist/consensus/internal/replica_host.hpp
+++ b/curranthoist/consensus/internal/replica_host.hpp
@@ -100,7 +100,7 @@
 template <state_machine Machine, class Disk>
 std::optional<base::term> replica_host<Machine, Disk>::led_term() const
 {
-    const auto led = leads_ && !failed_ ? replica_.led_term() : std::nullopt;
+    const auto led = leads_ && !failed_ ? replica_.led_term(clock_.now()) : std::nullopt;
     return led == leads_in_ ? led : std::nullopt;
 }
 
--- a/curranthoist/consensus/internal/replica_leader.hpp
+++ b/curranthoist/consensus/internal/replica_leader.hpp
@@ -86,10 +86,43 @@
 }
 
 template <class Rules>
-std::optional<base::term> basic_replica<Rules>::led_term() const
+std::optional<base::term> basic_replica<Rules>::led_term(base::instant now) const
 {
     const bool is_handed_over = is_transferring() && transfer_sent_;
-    return is_ready() && !is_handed_over ? std::optional(term_) : std::nullopt;
+    if (!is_ready() || is_handed_over) {
+        return std::nullopt;
+    }
+    const auto began = answered_round_began();
+    return began && now - *began < options_.min_election_timeout ? std::optional(term_)
+                                                                 : std::nullopt;
+}
+
+template <class Rules>
+void basic_replica<Rules>::begin_round(base::instant now)
+{
+    ++round_;
+    rounds_began_.push_back(now);
+    while (now - rounds_began_.front() >= options_.min_election_timeout) {
+        rounds_began_.pop_front();
+    }
+}
+
+template <class Rules>
+std::optional<base::instant> basic_replica<Rules>::answered_round_began() const
+{
+    std::uint64_t round = round_;
+    for (auto began = rounds_began_.rbegin(); began != rounds_began_.rend(); ++began) {
+        const bool is_answered = members().has_quorum([&](const base::member_id& id) {
+            const auto found = progress_.find(id);
+            return id == self_ || (found != progress_.end() &&
+                                   found->second.acknowledged_round() >= round);
+        });
+        if (is_answered) {
+            return *began;
+        }
+        --round;
+    }
+    return std::nullopt;
 }
 
 template <class Rules>
@@ -253,12 +286,12 @@
         return id == self_ ||
                (progress != nullptr && progress->acknowledged_round() >= round_);
     });
-    const bool new_round = reads_.last_round() > round_ && (round_idle || heartbeat);
+    const bool new_round = heartbeat || (reads_.last_round() > round_ && round_idle);
     if (new_round) {
-        ++round_;
+        begin_round(now);
     }
     for (auto& [id, progress] : progress_) {
-        send_to(id, progress, heartbeat || new_round, now);
+        send_to(id, progress, new_round, now);
     }
     continue_transfer(now);
 }
--- a/curranthoist/consensus/messages.hpp
+++ b/curranthoist/consensus/messages.hpp
@@ -40,7 +40,7 @@
     base::log_index previous_index;
     base::term previous_term;
     base::log_index commit_index;
-    // Numbers the leader's quorum rounds within its term.
+    // Numbers the leader's quorum rounds within its term. Each heartbeat begins one.
     std::uint64_t round = 0;
     std::vector<storage::log_entry> entries;
 };
--- a/curranthoist/consensus/replica.hpp
+++ b/curranthoist/consensus/replica.hpp
@@ -90,9 +90,13 @@
     [[nodiscard]] bool is_leader() const { return role_ == replica_role::leader; }
     // True on a leader that has committed an entry of its own term.
     [[nodiscard]] bool is_ready() const;
-    // The term in which this member may act as the leader; nullopt if it may not, also
-    // once it has asked a successor to stand.
-    [[nodiscard]] std::optional<base::term> led_term() const;
+    // The term in which this member may act as the leader at `now`; nullopt if it may
+    // not. A quorum has answered a round that began less than min_election_timeout ago:
+    // within that time none of these members grants a pre-vote to another. A process that
+    // stood still therefore acts as the leader only after a quorum has answered it again,
+    // whatever it reads first. A leader that has asked a successor to stand acts no
+    // longer.
+    [[nodiscard]] std::optional<base::term> led_term(base::instant now) const;
     // The latest term of which this member knows the elected leader; 0 since its start if
     // it knows none. Unlike current_term() it counts no candidate that lost.
     [[nodiscard]] base::term latest_leader_term() const { return latest_leader_term_; }
@@ -166,6 +170,10 @@
     void update_repair();
     void continue_transfer(base::instant now);
     bool check_quorum(base::instant now);
+    void begin_round(base::instant now);
+    // When the newest round began that a quorum has answered; nullopt if none has been
+    // for min_election_timeout.
+    [[nodiscard]] std::optional<base::instant> answered_round_began() const;
     void send_updates(base::instant now);
     void send_to(const base::member_id& id, follower_progress& progress, bool heartbeat,
                  base::instant now);
@@ -213,6 +221,8 @@
     std::map<base::member_id, follower_progress> progress_;
     base::instant heartbeat_due_;
     std::uint64_t round_ = 0;
+    // When the latest rounds began, the oldest first; the last one is round_.
+    std::deque<base::instant> rounds_began_;
     base::log_index term_start_;
     std::size_t uncommitted_bytes_ = 0;
     read_queue reads_;
--- a/curranthoist/consensus/replica_host.hpp
+++ b/curranthoist/consensus/replica_host.hpp
@@ -73,7 +73,8 @@
 
     // The term in which this member may act as the leader now; nullopt if it may not. It
     // is the term that the leadership handler reported last, and ends before the handler
-    // reports the loss, with the message that tells of another term.
+    // reports the loss: with the message that tells of another term, and while no quorum
+    // answers (replica::led_term).
     [[nodiscard]] std::optional<base::term> led_term() const;
     [[nodiscard]] bool is_leader() const { return led_term().has_value(); }
     // The latest term of which this member knows the elected leader (replica).
--- a/curranthoist/consensus/replica_test.cpp
+++ b/curranthoist/consensus/replica_test.cpp
@@ -124,6 +124,10 @@
         }
     }
 
+    // Time passes, and no replica runs meanwhile.
+    void stand_still(base::duration time) { now_ = now_ + time; }
+    [[nodiscard]] base::instant now() const { return now_; }
+
 private:
     struct transit
     {
@@ -260,6 +264,50 @@
     EXPECT_FALSE(group.at(1).is_leader());
 }
 
+// Guards against a leader that stood still and acts before a quorum has answered it
+// again: another one may have been elected, and answers from before lie in its sockets.
+TEST(replica_test, a_leader_that_stood_still_acts_after_a_quorum_has_answered_it_again)
+{
+    replica_group<replica_rules> group(3);
+    group.start_election(1);
+    const auto all = [](int, int, const message_body&) { return true; };
+    group.deliver(all);
+    group.advance(100_ms);
+    // The answers of this round arrive when it runs again.
+    std::vector<message_body> late;
+    group.deliver([&late](int, int to, const message_body& body) {
+        if (to == 1) {
+            late.push_back(body);
+        }
+        return to != 1;
+    });
+    ASSERT_FALSE(late.empty());
+    EXPECT_EQ(group.at(1).led_term(group.now()), group.at(1).current_term());
+    group.stand_still(680_ms);
+    EXPECT_EQ(group.at(1).led_term(group.now()), std::nullopt);
+    for (const message_body& body : late) {
+        group.at(1).on_message(body, group.now());
+        EXPECT_EQ(group.at(1).led_term(group.now()), std::nullopt);
+    }
+    // It has lost nothing if nobody else was elected.
+    group.collect(1);
+    group.deliver(all);
+    EXPECT_EQ(group.at(1).led_term(group.now()), group.at(1).current_term());
+}
+
+// Guards against a leader that goes on after it has asked its successor to stand.
+TEST(replica_test, a_leader_acts_no_longer_once_its_successor_may_stand)
+{
+    replica_group<replica_rules> group(3);
+    group.start_election(1);
+    group.deliver([](int, int, const message_body&) { return true; });
+    ASSERT_TRUE(group.at(1).led_term(group.now()));
+    EXPECT_TRUE(group.at(1).transfer_leadership(group.now()));
+    group.collect(1);
+    EXPECT_TRUE(group.at(1).is_leader());
+    EXPECT_EQ(group.at(1).led_term(group.now()), std::nullopt);
+}
+
 // Guards against members that never elect a leader again: the only voter has added its
 // promotion of a learner to its log, and both were stopped before the learner had it.
 TEST(replica_test, a_learner_votes_for_the_leader_that_was_about_to_promote_it)
