Follow the latest leader only, and compare no numbers of two publishers

It also took for the leader whichever member answered last, and an answer to a report from before it stood still for a fresh one.

Change: the answer to a report names the term in which the member leads, or the latest of which it knows the elected leader. Lists are compared by sequence only within one term of one publisher; of two publishers in one term the one counts that says it leads in it (coreclient/listing_order). A front reports the number of its list to the publisher alone, so that no other member takes it for one of its own. The term of a candidate that lost doesn't count, or one that is cut off could keep a front from the leader.

Members of the version before tell no term. They are believed while no leader that tells its term answers, and a list that one of them published under a wrong term gives way to the elected leader's.

--- a/curranthoist/consensus/replica_schedule_fixture_test.hpp
+++ b/curranthoist/consensus/replica_schedule_fixture_test.hpp
@@ -168,6 +168,8 @@
     {
         std::move(writes.begin(), writes.end(), std::back_inserter(writes_));
     }
+    // True while a write is not performed, or performed and not reported.
+    [[nodiscard]] bool has_writes() const { return !writes_.empty() || unreported_ != 0; }
     // Performs one write, or reports the performed ones.
     void disk_step(base::random_source& random, base::instant now)
     {
--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -1,23 +1,29 @@
 #include "curranthoist/coreclient/core_links.hpp"
 
 #include "curranthoist/base/wall_clock.hpp"
+#include "curranthoist/coreclient/leader_claim.hpp"
 #include "curranthoist/deployment/rollout_codec.hpp"
 #include "curranthoist/wire/packed_text.hpp"
 
 #include <algorithm>
 #include <span>
-#include <tuple>
 #include <utility>
 
 namespace curranthoist::coreclient {
 
+// What an answer to a report is compared with.
+struct core_links::sent_report
+{
+    base::instant at;
+};
+
 struct core_links::link
 {
     base::endpoint address;
     base::instant last_report;
     bool responsive = false;
-    // When the reports were sent that have no answer yet, by their numbers.
-    std::map<std::uint64_t, base::instant> sent_reports;
+    // The reports that have no answer yet, by their sequences.
+    std::map<std::uint64_t, sent_report> sent_reports;
     std::unique_ptr<wire::peer_dialer> dialer;
 };
 
@@ -73,12 +79,17 @@
 
 bool core_links::leader_responds() const
 {
-    return !members_.empty() && clock_.now() - leader_heard_ <= leader_limit;
+    return !members_.empty() && leader_.responds(clock_.now());
+}
+
+bool core_links::is_leader(const link& peer) const
+{
+    return leader_responds() && peer.address == leader_.address();
 }
 
 std::optional<base::endpoint> core_links::leader() const
 {
-    return leader_responds() ? std::optional(leader_) : std::nullopt;
+    return leader_responds() ? std::optional(leader_.address()) : std::nullopt;
 }
 
 void core_links::dial_missing()
@@ -128,7 +139,7 @@
         }
         const base::duration waited = peer->sent_reports.empty()
                                           ? base::duration()
-                                          : now - peer->sent_reports.begin()->second;
+                                          : now - peer->sent_reports.begin()->second.at;
         if (waited > answer_limit) {
             if (peer->responsive) {
                 log_.warn(
@@ -150,7 +161,7 @@
     if (!leader_responds()) {
         return report_interval;
     }
-    if (peer.address != leader_) {
+    if (peer.address != leader_.address()) {
         return follower_report_interval;
     }
     return callbacks_.may_report_rarely && callbacks_.may_report_rarely()
@@ -160,8 +171,7 @@
 
 bool core_links::is_report_wanted(const link& peer, base::instant now) const
 {
-    if (!callbacks_.wanted_report_interval || !leader_responds() ||
-        peer.address != leader_) {
+    if (!callbacks_.wanted_report_interval || !is_leader(peer)) {
         return false;
     }
     const auto wanted = callbacks_.wanted_report_interval();
@@ -174,8 +184,9 @@
     wire::front_report_message report;
     report.sequence = ++sequence_;
     report.state_index = state_index_;
-    report.listing_term = listing_term_;
-    report.listing_sequence = listing_sequence_;
+    const listing_number held = listing_.held_for(peer.address);
+    report.listing_term = held.term.value();
+    report.listing_sequence = held.sequence;
     report.observes = observes_;
     report.hears_leader = leader_responds();
     report.suspects_number = suspects_number_;
@@ -183,7 +194,7 @@
     report.gatherers_number = gatherers_number_;
     report.stopping = stopping_;
     report.members_number = members_number_;
-    if (callbacks_.samples && leader_responds() && peer.address == leader_) {
+    if (callbacks_.samples && is_leader(peer)) {
         for (const deployment::target_sample& sample : callbacks_.samples()) {
             auto entry = std::make_unique<wire::target_sample_message>();
             entry->id = sample.id.str();
@@ -192,7 +203,7 @@
             report.samples.push_back(std::move(entry));
         }
     }
-    if (callbacks_.team_uses && leader_responds() && peer.address == leader_) {
+    if (callbacks_.team_uses && is_leader(peer)) {
         for (const deployment::team_use& use : callbacks_.team_uses()) {
             auto entry = std::make_unique<wire::team_use_message>();
             entry->team = use.team;
@@ -201,7 +212,7 @@
             report.team_uses.push_back(std::move(entry));
         }
     }
-    if (callbacks_.answers_by_version && leader_responds() && peer.address == leader_) {
+    if (callbacks_.answers_by_version && is_leader(peer)) {
         for (const deployment::version_answers& one : callbacks_.answers_by_version()) {
             auto entry = std::make_unique<wire::version_answers_message>();
             entry->service = one.service.str();
@@ -213,19 +224,15 @@
         }
     }
     report.zone_cost_ms = static_cast<std::uint32_t>(callbacks_.zone_cost.count());
-    if (callbacks_.answers_by_zone && leader_responds() && peer.address == leader_) {
+    if (callbacks_.answers_by_zone && is_leader(peer)) {
         add_zone_answers(report);
     }
-    peer.sent_reports[report.sequence] = peer.last_report;
+    peer.sent_reports[report.sequence] = {peer.last_report};
     peer.dialer->send(std::move(report));
 }
 
 void core_links::add_zone_answers(wire::front_report_message& report)
 {
-    if (zones_reported_to_ != leader_) {
-        zones_reported_to_ = leader_;
-        reported_zones_.clear();
-    }
     for (const deployment::zone_answers& one : callbacks_.answers_by_zone()) {
         const auto [last, is_new] = reported_zones_.try_emplace(one.zone, one);
         if (!is_new && last->second == one) {
@@ -252,7 +259,7 @@
         on_listing(peer, *listing, base::duration());
     }
     else if (const auto* check = message.body_as_target_listing_check()) {
-        on_target_listing_check(*check);
+        on_target_listing_check(peer, *check);
     }
     else if (const auto* packed = message.body_as_packed_envelope()) {
         on_packed_envelope(peer, *packed);
@@ -285,9 +292,9 @@
         peer.responsive = true;
         log_.info("event=core_reached member=" + peer.address.str());
     }
-    const auto asked = peer.sent_reports.find(report.sequence());
-    const auto asked_at =
-        asked == peer.sent_reports.end() ? std::nullopt : std::optional(asked->second);
+    const auto found = peer.sent_reports.find(report.sequence());
+    const bool is_asked = found != peer.sent_reports.end();
+    const sent_report asked = is_asked ? found->second : sent_report();
     peer.sent_reports.erase(peer.sent_reports.begin(),
                             peer.sent_reports.upper_bound(report.sequence()));
     std::set<base::endpoint> members;
@@ -298,12 +305,20 @@
             }
         }
     }
-    if (!report.leader()) {
+    const followed_leader::verdict verdict =
+        leader_.hear({peer.address, report.leader(), base::term(report.term()),
+                      is_asked ? std::optional(asked.at) : std::nullopt},
+                     clock_.now());
+    const bool is_believed = verdict == followed_leader::verdict::known ||
+                             verdict == followed_leader::verdict::changed;
+    if (!is_believed) {
         unconfirmed_members_.insert(members.begin(), members.end());
+        on_no_leader(peer, report);
         return;
     }
-    leader_ = peer.address;
-    leader_heard_ = clock_.now();
+    if (verdict == followed_leader::verdict::changed) {
+        on_new_leader(peer);
+    }
     unconfirmed_members_.clear();
     if (!members.empty()) {
         members_number_ = report.members_number();
@@ -319,14 +334,32 @@
     on_suspects(report);
     on_gatherers(report);
     on_zone_share(report);
-    on_team_answer(report, asked_at);
-    // Without that time the shares may be old: a process that was frozen reads what came
-    // meanwhile.
-    if (callbacks_.on_rollout_shares && asked_at) {
-        on_rollout_shares(report, *asked_at);
+    on_team_answer(report, asked.at);
+    if (callbacks_.on_rollout_shares) {
+        on_rollout_shares(report, asked.at);
+    }
+}
+
+void core_links::on_no_leader(const link& peer, const wire::core_report& report)
+{
+    if (report.leader()) {
+        log_.info("event=leader_refused member=" + peer.address.str() +
+                  " term=" + std::to_string(report.term()) +
+                  " latest_term=" + std::to_string(leader_.latest_term().value()));
+    }
+    if (peer.address == leader_.address()) {
+        // It has not taken over what the report said.
+        reported_zones_.clear();
     }
 }
 
+void core_links::on_new_leader(const link& peer)
+{
+    log_.info("event=leader_changed member=" + peer.address.str() +
+              " term=" + std::to_string(leader_.term().value()));
+    reported_zones_.clear();
+}
+
 void core_links::on_zone_share(const wire::core_report& report)
 {
     if (!callbacks_.on_zone_share) {
@@ -361,15 +394,14 @@
     callbacks_.on_rollout_shares(shares, asked_at);
 }
 
-void core_links::on_team_answer(const wire::core_report& report,
-                                std::optional<base::instant> asked_at)
+void core_links::on_team_answer(const wire::core_report& report, base::instant asked_at)
 {
     // The answer is younger than the report, so the round began at most so long before
     // the report was sent.
-    if (callbacks_.on_confirmed && report.confirmed_index() != 0 && asked_at) {
+    if (callbacks_.on_confirmed && report.confirmed_index() != 0) {
         callbacks_.on_confirmed(report.confirmed_index(),
-                                *asked_at - base::duration(static_cast<std::int64_t>(
-                                                report.confirmed_age_ms())));
+                                asked_at - base::duration(static_cast<std::int64_t>(
+                                               report.confirmed_age_ms())));
     }
     if (!callbacks_.on_team_shares) {
         return;
@@ -386,7 +418,7 @@
             }
         }
     }
-    callbacks_.on_team_shares(leader_, std::move(shares));
+    callbacks_.on_team_shares(leader_.address(), std::move(shares));
 }
 
 // The last choice stays in use while no leader responds: each front finds by itself which
@@ -443,7 +475,7 @@
 
 void core_links::drop_old_suspects()
 {
-    if (suspects_number_ != 0 && !leader_responds()) {
+    if (!suspects_.empty() && !leader_responds()) {
         suspects_number_ = 0;
         suspects_.clear();
         if (callbacks_.on_suspects) {
@@ -488,16 +520,14 @@
 {
     const base::duration age =
         base::duration(static_cast<std::int64_t>(listing.age_ms())) + packed_age;
-    if (std::tuple(listing.term(), listing.sequence()) <=
-        std::tuple(listing_term_, listing_sequence_)) {
-        return;
-    }
-    if (listing.base() != 0 &&
-        (listing.term() != listing_term_ || listing.base() != listing_sequence_)) {
-        // The changes don't apply to the list of this process. Its next report says which
-        // list it has, and the member then sends the complete list.
+    const listing_number offered{peer.address, base::term(listing.term()),
+                                 listing.sequence()};
+    if (!listing_.take(offered, listing.base(), leader_)) {
+        // The next report tells the member which of its lists this process has, and the
+        // leader then sends the complete list.
         return;
     }
+    leader_.hear_term(offered.term);
     deployment::listing_change change;
     change.complete = listing.base() == 0;
     if (listing.removed() != nullptr) {
@@ -523,11 +553,9 @@
                  text(entry->version())});
         }
     }
-    listing_term_ = listing.term();
-    listing_sequence_ = listing.sequence();
     log_.info("event=listing_received member=" + peer.address.str() +
-              " term=" + std::to_string(listing_term_) +
-              " sequence=" + std::to_string(listing_sequence_) +
+              " term=" + std::to_string(offered.term.value()) +
+              " sequence=" + std::to_string(offered.sequence) +
               (change.complete ? " targets=" : " changed=") +
               std::to_string(change.targets.size()) +
               " removed=" + std::to_string(change.removed.size()) +
@@ -537,9 +565,12 @@
     callbacks_.on_listing(change);
 }
 
-void core_links::on_target_listing_check(const wire::target_listing_check& check)
+void core_links::on_target_listing_check(const link& peer,
+                                         const wire::target_listing_check& check)
 {
-    if (check.term() == listing_term_ && check.sequence() == listing_sequence_) {
+    const listing_number confirmed{peer.address, base::term(check.term()),
+                                   check.sequence()};
+    if (listing_.confirms(confirmed, leader_)) {
         callbacks_.on_listing_check(
             clock_.now() - base::duration(static_cast<std::int64_t>(check.age_ms())));
     }
--- a/curranthoist/coreclient/core_links.hpp
+++ b/curranthoist/coreclient/core_links.hpp
@@ -4,6 +4,8 @@
 #include "curranthoist/base/identifiers.hpp"
 #include "curranthoist/base/logger.hpp"
 #include "curranthoist/base/monotonic_clock.hpp"
+#include "curranthoist/coreclient/followed_leader.hpp"
+#include "curranthoist/coreclient/listing_order.hpp"
 #include "curranthoist/deployment/gatherer.hpp"
 #include "curranthoist/deployment/listing_change.hpp"
 #include "curranthoist/deployment/rollout.hpp"
@@ -147,9 +149,11 @@
 
 private:
     struct link;
+    struct sent_report;
 
-    // True if the leader has responded within leader_limit.
+    // True if the leader has responded within leader_limit and no later one is known.
     [[nodiscard]] bool leader_responds() const;
+    [[nodiscard]] bool is_leader(const link& peer) const;
     void dial_missing();
     void on_tick(ev::timer& watcher, int events);
     // The current interval of the reports to this member.
@@ -158,20 +162,22 @@
     void send_report(link& peer);
     void on_message(link& peer, const wire::envelope& message);
     void on_core_report(link& peer, const wire::core_report& report);
+    // The member does not lead, or is not believed.
+    void on_no_leader(const link& peer, const wire::core_report& report);
+    // Forgets what only the leader before knows.
+    void on_new_leader(const link& peer);
     void on_suspects(const wire::core_report& report);
-    // `asked_at` is when the report was sent that this answers, if that is known.
-    void on_team_answer(const wire::core_report& report,
-                        std::optional<base::instant> asked_at);
+    void on_team_answer(const wire::core_report& report, base::instant asked_at);
     void add_zone_answers(wire::front_report_message& report);
     void on_zone_share(const wire::core_report& report);
-    // `asked_at` is when the report was sent that this answers.
     void on_rollout_shares(const wire::core_report& report, base::instant asked_at);
     void on_gatherers(const wire::core_report& report);
     void drop_old_suspects();
     void on_snapshot(const link& peer, const wire::deployment_snapshot& snapshot);
     void on_listing(const link& peer, const wire::target_listing& listing,
                     base::duration packed_age);
-    void on_target_listing_check(const wire::target_listing_check& check);
+    void on_target_listing_check(const link& peer,
+                                 const wire::target_listing_check& check);
     void on_packed_envelope(link& peer, const wire::packed_envelope& packed);
     [[nodiscard]] wire::hello_message own_hello() const;
 
@@ -182,11 +188,9 @@
     std::vector<base::endpoint> seeds_;
     // Names the members that the last leader named, so that it need not repeat them.
     std::uint64_t members_number_ = 0;
-    // The members that the last leader named, its address, and the time of its last
-    // response.
+    // The members that the last leader named.
     std::set<base::endpoint> members_;
-    base::endpoint leader_;
-    base::instant leader_heard_;
+    followed_leader leader_{leader_limit};
     // Addresses of members that came from other sources than the leader since then.
     std::set<base::endpoint> unconfirmed_members_;
     handlers callbacks_;
@@ -203,12 +207,10 @@
     std::uint64_t gatherers_number_ = 0;
     std::string gather_address_;
     bool stopping_ = false;
-    // What was reported of each zone to the leader at that address.
+    // What was reported of each zone to the leader.
     std::map<base::zone_id, deployment::zone_answers> reported_zones_;
-    base::endpoint zones_reported_to_;
     std::uint64_t state_index_ = 0;
-    std::uint64_t listing_term_ = 0;
-    std::uint64_t listing_sequence_ = 0;
+    listing_order listing_;
 };
 
 } // namespace curranthoist::coreclient
--- a/curranthoist/coreclient/core_links_test.cpp
+++ b/curranthoist/coreclient/core_links_test.cpp
@@ -31,10 +31,10 @@
 class fake_core
 {
 public:
-    fake_core(ev::loop_ref loop, const base::endpoint& local, bool leads,
+    fake_core(ev::loop_ref loop, const base::endpoint& local, bool is_leader,
               std::vector<base::endpoint> members)
-        : loop_(loop)
-        , leads_(leads)
+        : leads(is_leader)
+        , loop_(loop)
         , members_(std::move(members))
         , listener_(loop, local, [this](int descriptor) { on_accept(descriptor); })
     {}
@@ -48,6 +48,11 @@
     }
     int reports = 0;
     bool answers = true;
+    bool leads = false;
+    // 0 as from a member of the version before.
+    std::uint64_t term = 0;
+    // Of the list in the last report.
+    std::uint64_t held_sequence = 0;
     std::uint64_t suspects_number = 0;
     int suspects_sent = 0;
     // If not 0, answers name a change of the suspects of that number.
@@ -92,7 +97,9 @@
         }
         wire::core_report_message reply;
         reply.sequence = report->sequence();
-        reply.leader = leads_;
+        reply.leader = leads;
+        reply.term = term;
+        held_sequence = report->listing_sequence();
         reply.fronts = 3;
         reply.suspects_number = suspects_number;
         if (report->suspects_number() != suspects_number) {
@@ -136,7 +143,6 @@
 
 private:
     ev::loop_ref loop_;
-    bool leads_;
     std::vector<base::endpoint> members_;
     std::vector<std::unique_ptr<wire::peer_connection>> peers_;
     wire::peer_listener listener_;
@@ -271,6 +277,57 @@
     EXPECT_EQ(states_[1].index, 6U);
 }
 
+// Guards against the fault of docs/incidents/list-of-a-deposed-leader.md: a front keeps a
+// list that a deposed leader of the version before published under its successor's term,
+// and refuses the lists of the successor until that has published as many.
+TEST_F(core_links_test, a_list_under_the_term_of_another_leader_gives_way)
+{
+    const base::endpoint first = free_endpoint();
+    const base::endpoint second = free_endpoint();
+    fake_core old(loop_, first, true, {first, second});
+    fake_core successor(loop_, second, false, {first, second});
+    connect({first, second});
+    ASSERT_TRUE(run_until(loop_, [&] { return old.reports > 0; }));
+    old.send(listing(2, 8, 3));
+    ASSERT_TRUE(run_until(loop_, [&] { return listings_.size() == 1; }));
+    old.leads = false;
+    old.send(listing(3, 9, 4));
+    ASSERT_TRUE(run_until(loop_, [&] { return listings_.size() == 2; }));
+    successor.leads = true;
+    successor.term = 3;
+    ASSERT_TRUE(run_until(loop_, [&] { return links_->leader() == second; }));
+    successor.send(listing(3, 1, 5));
+    EXPECT_TRUE(run_until(loop_, [&] { return listings_.size() == 3; }));
+    EXPECT_EQ(listings_, (std::vector<std::size_t>{3, 4, 5}));
+    EXPECT_TRUE(run_until(loop_, [&] { return successor.held_sequence == 1; }));
+}
+
+// Guards against a front that follows whichever of two leaders answered last.
+TEST_F(core_links_test, answers_of_a_deposed_leader_are_refused)
+{
+    const base::endpoint first = free_endpoint();
+    const base::endpoint second = free_endpoint();
+    fake_core old(loop_, first, true, {first, second});
+    fake_core successor(loop_, second, true, {first, second});
+    old.term = 2;
+    old.names_share = true;
+    successor.term = 3;
+    successor.suspects_number = 7;
+    connect({first, second});
+    ASSERT_TRUE(run_until(loop_, [&] { return links_->leader() == second; }));
+    const int reports = old.reports;
+    share_.reset();
+    // Until it has answered once more. Reports to other members are rare then.
+    EXPECT_TRUE(run_until(
+        loop_,
+        [&] {
+            EXPECT_NE(links_->leader(), first);
+            return old.reports > reports;
+        },
+        20.0));
+    EXPECT_FALSE(share_);
+}
+
 // Guards against a packed list that is ignored, and against a damaged one that is passed
 // on.
 TEST_F(core_links_test, a_packed_list_is_read_and_a_damaged_one_is_not)
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -161,6 +161,7 @@
     wire::core_report_message answer;
     answer.sequence = report.sequence();
     answer.leader = view.leader;
+    answer.term = view.term;
     answer.fronts = static_cast<std::uint32_t>(live_fronts());
     answer.members_number = number_of(view.members);
     if (report.members_number() != answer.members_number) {
--- a/curranthoist/cored/front_sessions.hpp
+++ b/curranthoist/cored/front_sessions.hpp
@@ -36,7 +36,9 @@
     // What the process says of itself in each answer to a report.
     struct core_view
     {
+        // Whether it may act as the leader now.
         bool leader = false;
+        // In which it leads; otherwise the latest one of which it knows the leader.
         std::uint64_t term = 0;
         // Addresses of the members, in the same order at each of them, and the own one.
         std::vector<std::string> members;
