Tell a front's leader everything again when it leads in a later term

A process that leads again two terms later has dropped its accounts of teams, its counts of zones and its choice of gatherers. A front that saw no other leader in between went by the leader's address and took it for the same: zones whose counts did not change were not reported again, a share of a team could come from an account that had just begun, and its numbers of suspects and gatherers, which each leader counts from a random start, were compared with those of another term.

A front now takes a leader for new if its address or its term differs, and forgets the numbers and what it reported. An answer to a report that carried other numbers is left to the next one.

core_links_test.the_same_process_in_a_later_term_is_told_everything_again failed on the code before.

--- a/curranthoist/coreclient/core_links.cpp
+++ b/curranthoist/coreclient/core_links.cpp
@@ -15,6 +15,8 @@
 struct core_links::sent_report
 {
     base::instant at;
+    std::uint64_t suspects_number = 0;
+    std::uint64_t gatherers_number = 0;
 };
 
 struct core_links::link
@@ -227,7 +229,8 @@
     if (callbacks_.answers_by_zone && is_leader(peer)) {
         add_zone_answers(report);
     }
-    peer.sent_reports[report.sequence] = {peer.last_report};
+    peer.sent_reports[report.sequence] = {peer.last_report, suspects_number_,
+                                          gatherers_number_};
     peer.dialer->send(std::move(report));
 }
 
@@ -331,8 +334,14 @@
     if (callbacks_.on_front_count) {
         callbacks_.on_front_count(report.fronts());
     }
-    on_suspects(report);
-    on_gatherers(report);
+    // An answer to a report with other numbers, such as those of the leader before, is
+    // left to the next one.
+    if (asked.suspects_number == suspects_number_) {
+        on_suspects(report);
+    }
+    if (asked.gatherers_number == gatherers_number_) {
+        on_gatherers(report);
+    }
     on_zone_share(report);
     on_team_answer(report, asked.at);
     if (callbacks_.on_rollout_shares) {
@@ -357,6 +366,8 @@
 {
     log_.info("event=leader_changed member=" + peer.address.str() +
               " term=" + std::to_string(leader_.term().value()));
+    suspects_number_ = 0;
+    gatherers_number_ = 0;
     reported_zones_.clear();
 }
 
@@ -418,7 +429,7 @@
             }
         }
     }
-    callbacks_.on_team_shares(leader_.address(), std::move(shares));
+    callbacks_.on_team_shares(leader_.address(), leader_.term(), std::move(shares));
 }
 
 // The last choice stays in use while no leader responds: each front finds by itself which
--- a/curranthoist/coreclient/core_links.hpp
+++ b/curranthoist/coreclient/core_links.hpp
@@ -69,8 +69,9 @@
         // at `at` or later.
         std::function<void(std::uint64_t index, base::instant at)> on_confirmed;
         // Called with each answer of the leader, with the teams of which only a part of
-        // the requests fits into their limits.
-        std::function<void(const base::endpoint& leader,
+        // the requests fits into their limits. The same leader in another term has lost
+        // its accounts.
+        std::function<void(const base::endpoint& leader, base::term term,
                            std::vector<deployment::team_share>)>
             on_team_shares;
         // Returns the requests of teams since the last report to the leader.
@@ -164,7 +165,7 @@
     void on_core_report(link& peer, const wire::core_report& report);
     // The member does not lead, or is not believed.
     void on_no_leader(const link& peer, const wire::core_report& report);
-    // Forgets what only the leader before knows.
+    // Forgets what only the leader before knows, and the numbers that it counted.
     void on_new_leader(const link& peer);
     void on_suspects(const wire::core_report& report);
     void on_team_answer(const wire::core_report& report, base::instant asked_at);
--- a/curranthoist/coreclient/core_links_test.cpp
+++ b/curranthoist/coreclient/core_links_test.cpp
@@ -328,6 +328,29 @@
     EXPECT_FALSE(share_);
 }
 
+// Guards against numbers of one leader that are taken for those of another, and against
+// zones that are not reported to a process that leads again without its counts.
+TEST_F(core_links_test, the_same_process_in_a_later_term_is_told_everything_again)
+{
+    const base::endpoint first = free_endpoint();
+    fake_core leader(loop_, first, true, {first});
+    leader.term = 3;
+    leader.suspects_number = 7;
+    leader.gatherers_number = 5;
+    seen_ = {{base::zone_id("z"), 10, 200}};
+    connect({first});
+    ASSERT_TRUE(run_until(
+        loop_, [&] { return leader.zones_reported["z"] == 1 && !suspects_.empty(); }));
+    ASSERT_EQ(leader.suspects_sent, 1);
+    ASSERT_EQ(gatherers_.size(), 1U);
+    leader.term = 5;
+    EXPECT_TRUE(run_until(loop_, [&] { return leader.zones_reported["z"] == 2; }));
+    EXPECT_TRUE(run_until(loop_, [&] { return leader.suspects_sent == 2; }));
+    // The gatherers stay until the new choice replaces them.
+    ASSERT_TRUE(run_until(loop_, [&] { return gatherers_.size() == 2; }));
+    EXPECT_EQ(gatherers_[1].size(), 1U);
+}
+
 // Guards against a packed list that is ignored, and against a damaged one that is passed
 // on.
 TEST_F(core_links_test, a_packed_list_is_read_and_a_damaged_one_is_not)
--- a/curranthoist/cored/team_accounts_test.cpp
+++ b/curranthoist/cored/team_accounts_test.cpp
@@ -15,6 +15,7 @@
 
 constexpr base::duration report_interval = 400_ms;
 const base::endpoint leader{"10.0.0.1", 7000};
+constexpr base::term leader_term{1};
 
 // Many VMs that report to one leader with a delay, and callers that reach them at random.
 class replay
@@ -27,7 +28,7 @@
         for (std::size_t i = 0; i < vm_count; ++i) {
             vms_.push_back(std::make_unique<forwarding::team_admission>(i + 1, 20));
             vms_.back()->set_vm_count(vm_count);
-            vms_.back()->on_leader(leader, now_);
+            vms_.back()->on_leader(leader, leader_term, now_);
         }
         accounts_.set_teams(std::span(&team_, 1), now_);
     }
@@ -50,7 +51,7 @@
                                   static_cast<std::int64_t>(vms_.size());
                 if (now_.count() % report_interval.count() == turn) {
                     accounts_.add(vms_[vm]->report_uses(), now_);
-                    vms_[vm]->on_leader(leader, now_);
+                    vms_[vm]->on_leader(leader, leader_term, now_);
                     vms_[vm]->set_shares(accounts_.shares(now_));
                 }
             }
--- a/curranthoist/cored/team_limits_replay_test.cpp
+++ b/curranthoist/cored/team_limits_replay_test.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t vm_count = 94;
 constexpr std::size_t team_count = 87;
 constexpr double usual_total_rate = 48.0;
+constexpr base::term leader_term{1};
 constexpr double skew = 1.2;
 // A team's limit, as a multiple of its usual rate, and what the hot one sends.
 constexpr double limit_factor = 1.6;
@@ -97,7 +98,7 @@
         }
         for (std::size_t i = 0; i < vm_count; ++i) {
             vms_.push_back(started_vm());
-            vms_.back()->on_leader(leader(), now_);
+            vms_.back()->on_leader(leader(), leader_term, now_);
             next_tick_.push_back(
                 now_ + base::duration(random_.between(0, tick_interval.count())));
             reported_at_.push_back(now_);
@@ -263,7 +264,7 @@
             shares_at_ = now_;
             shares_ = accounts_.shares(now_);
         }
-        vms_[vm]->on_leader(leader(), now_);
+        vms_[vm]->on_leader(leader(), leader_term, now_);
         vms_[vm]->set_shares(shares_);
     }
 
--- a/curranthoist/forwarding/team_admission.cpp
+++ b/curranthoist/forwarding/team_admission.cpp
@@ -118,15 +118,17 @@
     }
 }
 
-void team_admission::on_leader(const base::endpoint& leader, base::instant now)
+void team_admission::on_leader(const base::endpoint& leader, base::term term,
+                               base::instant now)
 {
-    const bool is_new =
-        leader_ && (*leader_ != leader || now - leader_heard_ >= max_absence);
+    const bool is_new = leader_ && (*leader_ != leader || leader_term_ != term ||
+                                    now - leader_heard_ >= max_absence);
     if (is_new) {
         leader_new_until_ = now + measuring_time;
         was_long_alone_ = now - leader_heard_ >= whole_time;
     }
     leader_ = leader;
+    leader_term_ = term;
     leader_heard_ = now;
     unanswered_since_.reset();
     for (auto& [name, one] : teams_) {
--- a/curranthoist/forwarding/team_admission.hpp
+++ b/curranthoist/forwarding/team_admission.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "curranthoist/base/endpoint.hpp"
+#include "curranthoist/base/identifiers.hpp"
 #include "curranthoist/base/instant.hpp"
 #include "curranthoist/base/random_source.hpp"
 #include "curranthoist/deployment/team.hpp"
@@ -46,9 +47,10 @@
                                           base::instant now);
     // The leader's newest shares; teams that it does not name are admitted whole.
     void set_shares(std::span<const deployment::team_share> shares);
-    // The leader was heard. A new one does not know yet what teams send: meanwhile this
-    // VM admits its equal part of each team that it has no share of.
-    void on_leader(const base::endpoint& leader, base::instant now);
+    // The leader was heard. A new one, or the same one in another term, does not know yet
+    // what teams send: meanwhile this VM admits its equal part of each team that it has
+    // no share of.
+    void on_leader(const base::endpoint& leader, base::term term, base::instant now);
     void set_vm_count(std::size_t count) { vm_count_ = count == 0 ? 1 : count; }
 
     // The use of each limited team since the leader was last heard, for a report to it. A
@@ -94,6 +96,7 @@
     // Of the oldest use without an answer.
     std::optional<base::instant> unanswered_since_;
     std::optional<base::endpoint> leader_;
+    base::term leader_term_;
     // The leader is new until then, and shares only fall.
     base::instant leader_new_until_;
     bool was_long_alone_ = false;
--- a/curranthoist/frontd/core_updates.cpp
+++ b/curranthoist/frontd/core_updates.cpp
@@ -58,9 +58,9 @@
     on.on_confirmed = [this](std::uint64_t index, base::instant at) {
         state_.key_lease.confirm(index, at);
     };
-    on.on_team_shares = [this](const base::endpoint& leader,
+    on.on_team_shares = [this](const base::endpoint& leader, base::term term,
                                const std::vector<deployment::team_share>& shares) {
-        state_.team_admission.on_leader(leader, clock_.now());
+        state_.team_admission.on_leader(leader, term, clock_.now());
         state_.team_admission.set_shares(shares);
     };
     on.on_rollout_shares = [this](std::span<const deployment::rollout_share> shares,
