Use nothing of an earlier term when a process leads again

A process that led again within 1.2 s named the shares of roll-outs by the quorum's confirmation of its earlier term, although another leader could have rolled the version back since. Its last shares of teams and its suspects also outlived the term, and a member that did not lead any more sent its list to a front that reported another one.

The confirmation belongs to the term in which the round began, and a new term drops it with the shares and the suspects. Lists leave only while the process acts as the leader of the term for which they were read.

front_sessions_test.a_new_term_needs_a_confirmation_of_its_own and front_sessions_test.a_list_is_sent_only_in_the_term_for_which_it_was_read failed on a copy without the two changes.

--- a/curranthoist/cored/core_process.cpp
+++ b/curranthoist/cored/core_process.cpp
@@ -302,16 +302,16 @@
     }
 }
 
-void core_process::confirm_leadership(base::instant now)
+void core_process::confirm_leadership(base::term term, base::instant now)
 {
     const bool is_needed = settings_.revocation_limit || has_running_rollout();
     if (!is_needed || now - confirmed_at_ < confirm_interval) {
         return;
     }
     confirmed_at_ = now;
-    host_.confirm_read([this, now](bool confirmed) {
-        if (confirmed) {
-            sessions_.confirm(state_.changed_at(), now);
+    host_.confirm_read([this, term, now](bool confirmed) {
+        if (confirmed && host_.led_term() == term) {
+            sessions_.confirm(term.value(), state_.changed_at(), now);
         }
     });
 }
@@ -323,7 +323,7 @@
     sessions_.send_due();
     if (const auto led = host_.led_term()) {
         update_teams();
-        confirm_leadership(now);
+        confirm_leadership(*led, now);
         end_rollouts(*led);
         log_rollout_steps();
         if (const auto change = keeper_.next_change(host_.status(), now)) {
--- a/curranthoist/cored/core_process.hpp
+++ b/curranthoist/cored/core_process.hpp
@@ -69,8 +69,9 @@
                  base::instant read_at);
     // On the leader: takes the teams of the newest configuration over.
     void update_teams();
-    // On the leader: lets a quorum confirm it, for the leases of fronts on keys.
-    void confirm_leadership(base::instant now);
+    // On the leader of `term`: lets a quorum confirm it, for the leases of fronts on
+    // keys.
+    void confirm_leadership(base::term term, base::instant now);
     [[nodiscard]] bool has_running_rollout() const;
     // Proposes the ends of roll-outs that are judged by the leader of `term`.
     void end_rollouts(base::term term);
--- a/curranthoist/cored/front_sessions.cpp
+++ b/curranthoist/cored/front_sessions.cpp
@@ -155,8 +155,8 @@
     // same state from each.
     from.wants_state = lacks_state && may_send_state(from, report, view, now);
     const listing_number held{report.listing_term(), report.listing_sequence()};
-    from.wants_listing = listing_ && !from.observes && held != listing_->number &&
-                         !is_on_its_way(from, now);
+    from.wants_listing = may_send_listing(view) && !from.observes &&
+                         held != listing_->number && !is_on_its_way(from, now);
     send_wanted(from, now);
     wire::core_report_message answer;
     answer.sequence = report.sequence();
@@ -192,9 +192,19 @@
         gatherers_ = gatherer_choice(gather_from_fronts_, std::random_device()(), now);
         judges_.clear();
         zones_.clear();
+        suspects_ = suspect_targets();
+        shares_.clear();
+        shares_at_ = base::instant();
+        confirmed_.reset();
     }
 }
 
+void front_sessions::confirm(std::uint64_t term, base::log_index index, base::instant at)
+{
+    follow_term(term, clock_.now());
+    confirmed_ = {index, at};
+}
+
 std::vector<rollout_judges::decision> front_sessions::judge_rollouts(std::uint64_t term)
 {
     const base::instant now = clock_.now();
@@ -547,7 +557,7 @@
 
 void front_sessions::send_whole_listing(front_session& to, base::instant now)
 {
-    if (!listing_) {
+    if (!may_send_listing(view_())) {
         to.wants_listing = false;
         return;
     }
--- a/curranthoist/cored/front_sessions.hpp
+++ b/curranthoist/cored/front_sessions.hpp
@@ -100,9 +100,9 @@
     // A reading of the platform's list by this process, which leads in `term`.
     void on_listing(std::uint64_t term, std::vector<deployment::listed_target> targets,
                     base::instant read_at);
-    // A quorum confirmed this process as the leader, in a round that began at `at`; no
-    // state was newer than that of `index` then.
-    void confirm(base::log_index index, base::instant at) { confirmed_ = {index, at}; }
+    // A quorum confirmed this process as the leader of `term`, in a round that began at
+    // `at`; no state was newer than that of `index` then.
+    void confirm(std::uint64_t term, base::log_index index, base::instant at);
     // The teams of the newest configuration, on the leader.
     void set_teams(std::span<const deployment::team> teams)
     {
@@ -231,6 +231,11 @@
     // earlier bytes wait: a front behind a full link would get every state of a series.
     void send_wanted(front_session& to, base::instant now);
     void send_state(front_session& to, base::instant now);
+    // Whether this process leads in the term for which it read the newest list.
+    [[nodiscard]] bool may_send_listing(const core_view& view) const
+    {
+        return listing_ && view.leader && view.term == listing_->number.term;
+    }
     // A frame with these targets of the newest list.
     [[nodiscard]] std::vector<std::uint8_t>
     listing_frame(const deployment::listing_change& change, std::uint64_t base) const;
@@ -281,7 +286,7 @@
     team_accounts accounts_;
     std::vector<deployment::team_share> shares_;
     base::instant shares_at_;
-    // The last confirmation of this process as the leader.
+    // The last confirmation of this process as the leader of `led_term_`.
     struct confirmation
     {
         base::log_index index;
--- a/curranthoist/cored/front_sessions_test.cpp
+++ b/curranthoist/cored/front_sessions_test.cpp
@@ -58,6 +58,8 @@
     std::uint64_t held_state = 0;
     std::uint64_t answers = 0;
     std::uint64_t fronts = 0;
+    std::uint64_t term = 0;
+    std::uint64_t confirmed_index = 0;
     std::vector<std::string> gatherers;
     // Of roll-outs, in the last answer.
     std::map<std::string, unsigned> shares;
@@ -82,6 +84,8 @@
         if (const auto* answer = message.body_as_core_report()) {
             answers = answer->sequence();
             fronts = answer->fronts();
+            term = answer->term();
+            confirmed_index = answer->confirmed_index();
             shares.clear();
             given.clear();
             if (answer->given_share() != nullptr) {
@@ -226,7 +230,7 @@
     report();
     EXPECT_TRUE(front.shares.empty());
     const base::monotonic_clock clock;
-    sessions_.confirm(state_.changed_at(), clock.now());
+    sessions_.confirm(term_, state_.changed_at(), clock.now());
     report();
     EXPECT_EQ(front.shares, (std::map<std::string, unsigned>{{"s", 200}}));
     state_.apply(base::log_index(2), deployment::deployment_state::end_rollout(
@@ -238,7 +242,7 @@
     front.held_state = 2;
     report();
     EXPECT_TRUE(front.shares.empty());
-    sessions_.confirm(state_.changed_at(),
+    sessions_.confirm(term_, state_.changed_at(),
                       clock.now() - front_sessions::confirmation_limit * 2);
     front.held_state = 1;
     report();
@@ -260,13 +264,63 @@
     EXPECT_EQ(sessions_.judge_rollouts(1).size(), 1U);
     term_ = 2;
     EXPECT_TRUE(sessions_.judge_rollouts(term_).empty());
-    sessions_.confirm(state_.changed_at(), base::monotonic_clock().now());
+    sessions_.confirm(term_, state_.changed_at(), base::monotonic_clock().now());
     front.bad_answers = 0;
     front.report();
     EXPECT_TRUE(run_until(loop_, [&] { return front.answers == 2; }));
     EXPECT_EQ(front.shares, (std::map<std::string, unsigned>{{"s", 200}}));
 }
 
+// Guards against a process that leads again and relies on the confirmation of its earlier
+// term: another leader may have rolled the version back in between.
+TEST_F(front_sessions_test, a_new_term_needs_a_confirmation_of_its_own)
+{
+    fake_front front(loop_, open_session("vm"));
+    const deployment::rollout order{base::service_id("s"), "v2", "v1",
+                                    base::duration(12'000), base::wall_clock().now()};
+    state_.apply(base::log_index(1), deployment::deployment_state::start_rollout(order));
+    EXPECT_TRUE(sessions_.judge_rollouts(term_).empty());
+    sessions_.confirm(term_, state_.changed_at(), base::monotonic_clock().now());
+    term_ = 3;
+    EXPECT_TRUE(sessions_.judge_rollouts(term_).empty());
+    front.report();
+    EXPECT_TRUE(run_until(loop_, [&] { return front.answers == 1; }));
+    EXPECT_TRUE(front.shares.empty());
+    EXPECT_EQ(front.confirmed_index, 0U);
+}
+
+// Guards against a member that sends its list when it leads no longer, or leads in
+// another term than that for which it was read.
+TEST_F(front_sessions_test, a_list_is_sent_only_in_the_term_for_which_it_was_read)
+{
+    const auto list = [] {
+        return std::vector<deployment::listed_target>{{base::target_id("t"),
+                                                       base::service_id("s"),
+                                                       base::zone_id("z"),
+                                                       base::endpoint{"10.0.0.9", 80},
+                                                       false,
+                                                       {},
+                                                       {}}};
+    };
+    sessions_.on_listing(term_, list(), base::monotonic_clock().now());
+    fake_front front(loop_, open_session("vm"));
+    const auto report = [&] {
+        const std::uint64_t before = front.answers;
+        front.report();
+        EXPECT_TRUE(run_until(loop_, [&] { return front.answers > before; }));
+    };
+    leads_ = false;
+    report();
+    leads_ = true;
+    term_ = 3;
+    report();
+    EXPECT_TRUE(front.packed_bytes.empty());
+    EXPECT_EQ(front.term, 3U);
+    sessions_.on_listing(term_, list(), base::monotonic_clock().now());
+    report();
+    EXPECT_EQ(front.packed_bytes.size(), 1U);
+}
+
 // Guards against a session that queues every state of a series for a front that does not
 // read, so that the newest one comes last.
 TEST_F(front_sessions_test, a_front_that_reads_late_gets_the_newest_state_next)
