Count no silence of members while the leader stood still

A leader that stood still for more than 8 s, and still leads because the others stood still or were cut off as well, found every member silent for that time when it ran again, and proposed to remove those whose answers it had not read yet; after 2.5 s it could replace one by an applicant.

membership_keeper counts silence from the end of the last pause in which it was not asked, which is when the process did not act as the leader.

membership_keeper_test.the_time_in_which_the_leader_stood_still_is_no_silence failed with the code before. Not seen in a run of processes.

--- a/curranthoist/cored/membership_keeper.cpp
+++ b/curranthoist/cored/membership_keeper.cpp
@@ -1,5 +1,7 @@
 #include "curranthoist/cored/membership_keeper.hpp"
 
+#include <algorithm>
+
 namespace curranthoist::cored {
 
 namespace {
@@ -8,19 +10,20 @@
 using consensus::member_role;
 using consensus::membership_change;
 
-base::duration silence_of(const consensus::replica_status& status,
-                          const base::member_id& id, base::instant now)
+} // namespace
+
+base::duration membership_keeper::silence_of(const consensus::replica_status& status,
+                                             const base::member_id& id,
+                                             base::instant now) const
 {
     for (const consensus::member_progress& one : status.progress) {
         if (one.id == id && one.last_heard != base::instant::max()) {
-            return now - one.last_heard;
+            return now - std::max(one.last_heard, acts_since_);
         }
     }
     return base::duration();
 }
 
-} // namespace
-
 void membership_keeper::on_join(const base::member_id& id, const base::endpoint& address,
                                 base::instant now)
 {
@@ -29,7 +32,8 @@
 
 base::member_id
 membership_keeper::voter_to_replace(const consensus::replica_status& status,
-                                    const base::endpoint& address, base::instant now)
+                                    const base::endpoint& address,
+                                    base::instant now) const
 {
     base::member_id silent;
     base::duration longest = replace_after;
@@ -51,7 +55,8 @@
 }
 
 std::optional<membership_change>
-membership_keeper::removal(const consensus::replica_status& status, base::instant now)
+membership_keeper::removal(const consensus::replica_status& status,
+                           base::instant now) const
 {
     std::size_t voters = 0;
     for (const member& one : status.members.members()) {
@@ -71,6 +76,10 @@
 std::optional<membership_change>
 membership_keeper::next_change(const consensus::replica_status& status, base::instant now)
 {
+    if (called_at_ && now - *called_at_ > max_pause) {
+        acts_since_ = now;
+    }
+    called_at_ = now;
     std::erase_if(applicants_, [now](const auto& one) {
         return now - one.second.asked > forget_after;
     });
--- a/curranthoist/cored/membership_keeper_test.cpp
+++ b/curranthoist/cored/membership_keeper_test.cpp
@@ -111,6 +111,27 @@
     EXPECT_FALSE(keeper_.next_change(status_, now_));
 }
 
+// Guards against a leader that stood still and takes the others, which it could not hear,
+// for silent ones: it would remove a voter, or replace one that runs.
+TEST_F(membership_keeper_test, the_time_in_which_the_leader_stood_still_is_no_silence)
+{
+    set({voter("1", 1), voter("2", 2), voter("3", 3), voter("4", 4)});
+    EXPECT_FALSE(keeper_.next_change(status_, now_));
+    now_ = now_ + duration(9000);
+    silent_for("4", 9000);
+    EXPECT_FALSE(keeper_.next_change(status_, now_));
+    // From here on it is.
+    const instant woken = now_;
+    for (; now_ - woken <= membership_keeper::remove_after; now_ = now_ + duration(100)) {
+        set({voter("1", 1), voter("2", 2), voter("3", 3), voter("4", 4)});
+        silent_for("4", (now_ - woken).count() + 9000);
+        EXPECT_FALSE(keeper_.next_change(status_, now_));
+    }
+    const auto change = keeper_.next_change(status_, now_);
+    ASSERT_TRUE(change);
+    EXPECT_EQ(change->id, member_id("4"));
+}
+
 // Guards against a process that asked once, long ago, and is added when it has gone.
 TEST_F(membership_keeper_test, a_process_that_no_longer_asks_is_forgotten)
 {
