--- a/curranthoist/cored/team_accounts_test.cpp
+++ b/curranthoist/cored/team_accounts_test.cpp
@@ -154,5 +154,29 @@
     EXPECT_GT(load.admitted(), 200U);
 }
 
+// Guards against a VM that admits everything by the account of a leader that leads again
+// in a later term and has dropped it.
+TEST(team_accounts_test, a_leader_of_a_later_term_is_a_new_one)
+{
+    constexpr std::size_t vm_count = 10;
+    constexpr int requests = 10;
+    const deployment::team limited{"hot", {}, 0, 10.0, 10.0};
+    for (const bool is_later : {false, true}) {
+        base::instant now{100'000};
+        forwarding::team_admission vm(1, 0);
+        vm.set_vm_count(vm_count);
+        vm.on_leader(leader, leader_term, now);
+        vm.set_shares({});
+        now = now + report_interval;
+        vm.on_leader(leader, is_later ? leader_term.next() : leader_term, now);
+        vm.set_shares({});
+        int admitted = 0;
+        for (int i = 0; i < requests; ++i) {
+            admitted += vm.refusal(limited, now) ? 0 : 1;
+        }
+        EXPECT_EQ(admitted, is_later ? 1 : requests);
+    }
+}
+
 } // namespace
 } // namespace curranthoist::cored
